--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,258 @@
+// Package api serves users, workers and health checks over HTTP. It checks
+// form, hands events to the node and writes its replies; what the answer is,
+// the core decides.
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+// maxBody is the protocol's bound on a request body.
+const maxBody = 64 << 10
+
+// Asker hands an event to the node and waits for its reply. The event is made
+// from the number that the reply will carry. False: no reply in time, or the
+// node is overloaded.
+type Asker interface {
+	Ask(make func(req uint64) core.Event, wait time.Duration) (core.Reply, bool)
+	Now() time.Duration
+}
+
+// Users wait 5 s for a submission, 2 s for a poll, workers 4 s for a report:
+// each is told before that.
+const (
+	submitWait = 4 * time.Second
+	pollWait   = 1800 * time.Millisecond
+	beatWait   = 3 * time.Second
+)
+
+// Handler serves all paths.
+func Handler(n Asker) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/api/jobs", func(w http.ResponseWriter, r *http.Request) {
+		if !method(w, r, http.MethodPost) {
+			return
+		}
+		body, ok := read(w, r)
+		if !ok {
+			return
+		}
+		job, err := ParseJob(body)
+		if err != nil {
+			send(w, 400, core.Problem{Error: err.Error()}, 0)
+			return
+		}
+		wall := time.Now().UnixMilli()
+		ask(w, n, submitWait, func(req uint64) core.Event { return core.Submit{Req: req, Job: *job, Wall: wall} })
+	})
+	mux.HandleFunc("/api/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		if !method(w, r, http.MethodGet) {
+			return
+		}
+		id := r.PathValue("id")
+		if !validID(id) {
+			send(w, 404, core.Problem{Error: "no such job"}, 0)
+			return
+		}
+		ask(w, n, pollWait, func(req uint64) core.Event { return core.Poll{Req: req, ID: id} })
+	})
+	mux.HandleFunc("/api/jobs/{id}/withdraw", func(w http.ResponseWriter, r *http.Request) {
+		if !method(w, r, http.MethodPost) {
+			return
+		}
+		id := r.PathValue("id")
+		if !validID(id) {
+			send(w, 404, core.Problem{Error: "no such job"}, 0)
+			return
+		}
+		ask(w, n, submitWait, func(req uint64) core.Event { return core.Withdraw{Req: req, ID: id} })
+	})
+	mux.HandleFunc("/agent/beat", func(w http.ResponseWriter, r *http.Request) {
+		if !method(w, r, http.MethodPost) {
+			return
+		}
+		// A worker's list may be long; it is bounded by what it runs.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 16*maxBody))
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		var rep model.Report
+		if err := json.Unmarshal(body, &rep); err != nil || rep.Host == "" {
+			send(w, 400, core.Problem{Error: "not a report"}, 0)
+			return
+		}
+		ask(w, n, beatWait, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} })
+	})
+	mux.HandleFunc("/up", func(w http.ResponseWriter, r *http.Request) {
+		if !method(w, r, http.MethodGet) {
+			return
+		}
+		ask(w, n, pollWait, func(req uint64) core.Event { return core.Up{Req: req} })
+	})
+	return mux
+}
+
+func method(w http.ResponseWriter, r *http.Request, want string) bool {
+	if r.Method == want {
+		return true
+	}
+	w.Header().Set("Allow", want)
+	send(w, 405, core.Problem{Error: "method not allowed"}, 0)
+	return false
+}
+
+// read takes a body within the bound; a longer one is refused unread.
+func read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	if r.ContentLength > maxBody {
+		refuse(w, &http.MaxBytesError{Limit: maxBody})
+		return nil, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		refuse(w, err)
+		return nil, false
+	}
+	return body, true
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close")
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		send(w, 400, core.Problem{Error: "body too long"}, 0)
+		return
+	}
+	send(w, 400, core.Problem{Error: "body not readable"}, 0)
+}
+
+func ask(w http.ResponseWriter, n Asker, wait time.Duration, make func(uint64) core.Event) {
+	r, ok := n.Ask(make, wait)
+	if !ok {
+		send(w, 503, core.Problem{Error: "overloaded"}, 1)
+		return
+	}
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		send(w, 500, core.Problem{Error: "reply not encodable"}, 0)
+		return
+	}
+	if r.Until != 0 && n.Now() >= r.Until {
+		// The entitlement behind the answer ended while it waited here.
+		send(w, 503, core.Problem{Error: "no longer leading"}, 0)
+		return
+	}
+	write(w, r.Status, body, r.RetryAfter)
+}
+
+func send(w http.ResponseWriter, status int, body any, retryAfter int) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		b = []byte(`{}`)
+	}
+	write(w, status, b, retryAfter)
+}
+
+func write(w http.ResponseWriter, status int, body []byte, retryAfter int) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h["Date"] = nil // costs a clock reading and serves nobody here
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfter))
+	}
+	w.WriteHeader(status)
+	// An error means that the client has gone: nobody is left to tell.
+	_, _ = w.Write(body)
+}
+
+// validID says whether id has the form of job ids: "req-" and digits.
+func validID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "req-")
+	if !ok || len(digits) < 6 || len(digits) > 20 {
+		return false
+	}
+	for _, c := range digits {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// required lists the fields of a submission that may not be left out.
+var required = []string{"id", "lane", "owner", "shape", "rank", "pieces", "cpus", "cards", "memoryGb",
+	"build", "pullGb", "samePlace", "scatter", "loaners", "guessS", "snapshotEveryS", "snapshotCostS"}
+
+// ParseJob reads a submission and checks its form.
+func ParseJob(body []byte) (*model.Job, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return nil, errors.New("not a JSON object")
+	}
+	for _, f := range required {
+		v, ok := fields[f]
+		if !ok || bytes.Equal(v, []byte("null")) {
+			return nil, fmt.Errorf("%s: missing", f)
+		}
+	}
+	var j model.Job
+	if err := json.Unmarshal(body, &j); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("%s: not valid", te.Field)
+		}
+		return nil, errors.New("not valid")
+	}
+	switch {
+	case !validID(j.ID):
+		return nil, errors.New("id: not valid")
+	case j.Class == "" || len(j.Class) > 200:
+		return nil, errors.New("lane: not valid")
+	case j.Team == "" || len(j.Team) > 200:
+		return nil, errors.New("owner: not valid")
+	case j.Kind != model.Batch && j.Kind != model.Service:
+		return nil, errors.New("shape: not valid")
+	case j.Priority != model.Prod && j.Priority != model.High && j.Priority != model.Normal && j.Priority != model.Low:
+		return nil, errors.New("rank: not valid")
+	case j.Tasks < 1 || j.Tasks > 100_000:
+		return nil, errors.New("pieces: not within 1 and 100000")
+	case j.Image == "" || len(j.Image) > 200:
+		return nil, errors.New("build: not valid")
+	}
+	for _, a := range []struct {
+		field string
+		value float64
+	}{
+		{"cpus", j.CPUs}, {"cards", j.GPUs}, {"memoryGb", j.MemoryGB}, {"pullGb", j.ImageGB},
+		{"guessS", j.Estimate}, {"snapshotEveryS", j.Checkpoint}, {"snapshotCostS", j.SaveCost},
+	} {
+		if !(a.value >= 0) || a.value > 1e9 {
+			return nil, fmt.Errorf("%s: not valid", a.field)
+		}
+	}
+	if j.Due != nil && (!(*j.Due >= 0) || math.IsInf(*j.Due, 0)) {
+		return nil, errors.New("dueS: not valid")
+	}
+	if v, ok := fields["flavors"]; ok && !bytes.Equal(v, []byte("null")) && len(j.Types) == 0 {
+		return nil, errors.New("flavors: empty")
+	}
+	for _, t := range j.Types {
+		if t == "" {
+			return nil, errors.New("flavors: not valid")
+		}
+	}
+	return &j, nil
+}
--- /dev/null
+++ b/internal/core/cloud.go
@@ -0,0 +1,469 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sort"
+	"time"
+
+	"mulleinfall/internal/fleet"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// fleetState is the leader's dealings with the cloud.
+type fleetState struct {
+	listing  bool
+	listAt   time.Duration
+	planAt   time.Duration
+	renting  int
+	returnBy bool
+	// refused keeps offers that the cloud had no capacity for: not asked
+	// again before, with pauses that grow.
+	refused  map[offerKey]*refusal
+	returned map[string]time.Duration
+}
+
+type offerKey struct {
+	typ, zone string
+	spot      bool
+}
+
+type refusal struct {
+	until time.Duration
+	count int
+}
+
+func (s *State) startFleet() {
+	s.fleetState = fleetState{refused: map[offerKey]*refusal{}}
+	s.listAt = s.now
+	s.planAt = s.now + time.Second
+}
+
+// cloud sends a call to the cloud, within its rate; false: not now.
+func (s *State) cloud(c CloudCall, done func(CloudDone)) bool {
+	if !s.cloudRate.AllowN(s.at(), 1) {
+		return false
+	}
+	c.Call = s.call(func(r any) { done(r.(CloudDone)) })
+	s.emit(c)
+	return true
+}
+
+// pumpTypes learns the machine types: from the state service, or from the
+// cloud where nobody has written them down yet. The leader keeps prices new.
+func (s *State) pumpTypes() {
+	if s.now < s.typesAt {
+		return
+	}
+	if len(s.types) > 0 && !s.Leading() {
+		s.typesAt = s.now + 5*time.Second
+		return
+	}
+	if !s.loaded {
+		return
+	}
+	s.typesAt = s.now + 3*time.Second
+	s.cloud(CloudCall{Op: CloudTypes}, func(d CloudDone) {
+		if d.Status != 200 || len(d.Types) == 0 {
+			return
+		}
+		s.typesAt = s.now + 30*time.Second
+		changed := s.setTypes(d.Types)
+		if s.stamp(keyTypes) != 0 && !changed {
+			return
+		}
+		s.put(&write{change: Change{Key: keyTypes, Value: raw(d.Types)}, deadline: s.now + userWait, done: func(outcome) {}})
+	})
+}
+
+func (s *State) typesFromStore(value json.RawMessage) {
+	var list []model.MachineType
+	if json.Unmarshal(value, &list) == nil && len(list) > 0 {
+		s.setTypes(list)
+	}
+}
+
+// setTypes takes the list of types; it says whether more than prices changed.
+func (s *State) setTypes(list []model.MachineType) bool {
+	changed := len(list) != len(s.typeList)
+	for i := range list {
+		t := list[i]
+		old := s.types[t.Name]
+		if old == nil {
+			changed = true
+			s.types[t.Name] = &t
+			continue
+		}
+		if old.CPUs != t.CPUs || old.GPUs != t.GPUs || old.MemoryGB != t.MemoryGB || old.CacheGB != t.CacheGB || old.FetchRate != t.FetchRate {
+			changed = true
+		}
+		*old = t
+	}
+	s.typeList = list
+	for _, m := range s.machines {
+		s.describe(m, m.endpoint, m.typeName, m.zone, m.spot)
+	}
+	return changed
+}
+
+// cloudTick compares the machines there are with those that are wanted.
+func (s *State) cloudTick() {
+	if !s.listing && s.now >= s.listAt {
+		s.list("")
+	}
+	if s.now >= s.planAt {
+		s.planAt = s.now + time.Second
+		s.giveBack()
+		if s.settled {
+			s.rentMore()
+		}
+	}
+}
+
+func (s *State) list(after string) {
+	s.listing = true
+	tenure := s.tenure
+	ok := s.cloud(CloudCall{Op: CloudList, After: after, Limit: 500}, func(d CloudDone) {
+		if s.tenure != tenure {
+			return
+		}
+		s.listing = false
+		s.listAt = s.now + max(s.cfg.ListLag/2, time.Second)
+		if d.Status != 200 {
+			return
+		}
+		for _, l := range d.Listed {
+			s.listed(l)
+		}
+		if d.More && len(d.Listed) > 0 {
+			s.list(d.Listed[len(d.Listed)-1].Host)
+		}
+	})
+	if !ok {
+		s.listing = false
+	}
+}
+
+// listed takes a line of the machine list. The list lags: what it lacks says
+// nothing, and a machine that is gone may still be on it.
+func (s *State) listed(l model.Listed) {
+	m := s.machines[l.Host]
+	age := time.Duration(l.AgeS * float64(time.Second))
+	if m == nil {
+		if l.State == "failed" {
+			return
+		}
+		if s.recentlyReturned(l.Host) {
+			return
+		}
+		m = s.machine(l.Host)
+		m.hiredAt = s.now - age
+		s.describe(m, l.Endpoint, l.Type, l.Zone, l.Spot)
+		return
+	}
+	if m.endpoint == "" {
+		m.endpoint = l.Endpoint
+	}
+	if l.State == "failed" && s.now-m.lastBeat > s.cfg.Lease/2 {
+		m.dead = true
+	}
+}
+
+// giveBack returns machines that are lost, never came up, or idle.
+func (s *State) giveBack() {
+	if s.returnBy {
+		return
+	}
+	var hosts []string
+	idle := 0
+	for _, m := range s.sortedMachines() {
+		if len(hosts) >= 100 {
+			break
+		}
+		switch {
+		case m.returning, m.dead:
+			hosts = append(hosts, m.host)
+		case m.lapsed:
+			// Not while nobody reports: then it is rather us who are cut off.
+			if s.now-s.leaseEnd(m) > s.cfg.Lease/2 && s.now-s.beatAt < 2*s.cfg.ReportEvery {
+				hosts = append(hosts, m.host)
+			}
+		case !m.up && !m.rostered:
+			if s.now-m.hiredAt > s.bootLimit(m) {
+				hosts = append(hosts, m.host)
+			}
+		case m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
+			if s.settled && s.idleEnough(m) && idle == 0 && s.spareWithout(m) {
+				idle++ // one at a time: the spare room is counted anew
+				hosts = append(hosts, m.host)
+			}
+		default:
+			m.idleSince = s.now
+		}
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	tenure := s.tenure
+	ok := s.cloud(CloudCall{Op: CloudReturn, Hosts: hosts}, func(d CloudDone) {
+		if s.tenure != tenure {
+			return
+		}
+		s.returnBy = false
+		if d.Status != 200 {
+			return
+		}
+		for _, h := range hosts {
+			s.gone(h)
+		}
+	})
+	if !ok {
+		return
+	}
+	s.returnBy = true
+	for _, h := range hosts {
+		m := s.machines[h]
+		m.returning = true
+		s.dirty = true
+		s.log(slog.LevelInfo, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.tenure.Term)
+	}
+}
+
+func (s *State) bootLimit(m *machine) time.Duration {
+	boot := 30.0
+	if m.typ != nil {
+		boot = max(m.typ.BootS, 5)
+	}
+	return time.Duration(s.cfg.GiveUpBoot * boot * float64(time.Second))
+}
+
+// idleEnough says whether an idle machine has waited for work as long as
+// renting it anew would take, and has used up its minimum charge.
+func (s *State) idleEnough(m *machine) bool {
+	boot := 30.0
+	if m.typ != nil {
+		boot = max(m.typ.BootS, 5)
+	}
+	const minimumCharge = 60 * time.Second // PROTOCOL, /machines/return
+	return s.now-m.idleSince > time.Duration(s.cfg.IdleReturn*boot*float64(time.Second)) && s.now-m.hiredAt > minimumCharge
+}
+
+// gone notes that the cloud has confirmed a machine's end.
+func (s *State) gone(host string) {
+	m := s.machines[host]
+	if m == nil {
+		return
+	}
+	for _, t := range m.tasks {
+		s.unbind(t, "machine returned")
+	}
+	delete(s.machines, host)
+	if s.returned == nil {
+		s.returned = map[string]time.Duration{}
+	}
+	s.returned[host] = s.now
+	if m.rostered {
+		s.put(&write{
+			change: Change{Key: dirMachine + host, Remove: true},
+			leader: s.tenure.Term, deadline: s.now + time.Hour, done: func(outcome) {},
+		})
+	}
+	s.dirty = true
+	s.checkSettled()
+}
+
+// recentlyReturned keeps the lagging list from bringing a machine back.
+func (s *State) recentlyReturned(host string) bool {
+	at, ok := s.returned[host]
+	if !ok {
+		return false
+	}
+	if s.now-at > 5*s.cfg.ListLag+time.Minute {
+		delete(s.returned, host)
+		return false
+	}
+	return true
+}
+
+// serviceNeed is what a typical service task of now takes.
+func (s *State) serviceNeed() (*job, bool) {
+	var best *job
+	for _, j := range s.active {
+		if j.Kind == model.Service && j.rank == 0 && (best == nil || j.CPUs > best.CPUs || j.CPUs == best.CPUs && j.arrival < best.arrival) {
+			best = j
+		}
+	}
+	return best, best != nil
+}
+
+// spareWithout says whether room for services stays when m is returned.
+func (s *State) spareWithout(m *machine) bool {
+	j, ok := s.serviceNeed()
+	if !ok || m.spot {
+		return true
+	}
+	need := sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+	room := 0
+	for _, o := range s.machines {
+		if o == m || !s.usable(o) || o.spot {
+			continue
+		}
+		for free := o.view.Free; free.Fits(need); free = free.Sub(need) {
+			room++
+		}
+	}
+	return room >= s.cfg.SpareServices
+}
+
+// rentMore rents for the tasks that found no room, and for the room to keep
+// free for services.
+func (s *State) rentMore() {
+	if s.renting > 0 {
+		return // what is asked for already must not be asked for twice
+	}
+	var wants []fleet.Want
+	queue := s.queueForFleet()
+	for _, j := range queue {
+		wants = append(wants, s.want(j, j.waiting()))
+	}
+	if j, ok := s.serviceNeed(); ok && s.cfg.SpareServices > 0 {
+		spare := &job{Job: j.Job, tasks: map[int]*task{}}
+		spare.Spread, spare.Zone = false, ""
+		wants = append(wants, s.want(spare, s.cfg.SpareServices))
+	}
+	if len(wants) == 0 {
+		return
+	}
+	var coming []fleet.Coming
+	have := map[string]int{}
+	for _, m := range s.sortedMachines() {
+		have[m.zone]++
+		if m.typ == nil || m.returning || m.dead || m.lapsed || m.recallAt != 0 {
+			continue
+		}
+		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
+		if m.up {
+			s.refreshView(m)
+			c.Free = m.view.Free
+		} else {
+			c.Free = m.view.Capacity
+		}
+		coming = append(coming, c)
+	}
+	limit := s.cfg.MaxMachines - len(s.machines)
+	for _, r := range fleet.Plan(wants, coming, s.offers(have), limit) {
+		s.rent(r)
+	}
+}
+
+func (s *State) want(j *job, n int) fleet.Want {
+	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
+	if j.Spread {
+		w.PerZone = func(zone string) int {
+			n := j.ZoneCap()
+			for _, t := range j.tasks {
+				if t.m.zone == zone {
+					n--
+				}
+			}
+			return n
+		}
+	}
+	return w
+}
+
+func (s *State) queueForFleet() []*job {
+	var queue []*job
+	for _, j := range s.active {
+		if j.waiting() > 0 {
+			queue = append(queue, j)
+		}
+	}
+	sort.Slice(queue, func(a, b int) bool {
+		if queue[a].rank != queue[b].rank {
+			return queue[a].rank < queue[b].rank
+		}
+		return queue[a].arrival < queue[b].arrival
+	})
+	return queue
+}
+
+// offers lists what can be asked for now.
+func (s *State) offers(have map[string]int) []fleet.Offer {
+	var out []fleet.Offer
+	for i := range s.typeList {
+		t := s.types[s.typeList[i].Name]
+		for _, zone := range t.ZonesAvail {
+			for _, spot := range []bool{false, true} {
+				if r := s.refused[offerKey{t.Name, zone, spot}]; r != nil && s.now < r.until {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				out = append(out, fleet.Offer{Type: t, Zone: zone, Spot: spot, Price: price, Have: have[zone]})
+			}
+		}
+	}
+	return out
+}
+
+// rent asks the cloud for machines. The name is built from the term, so that
+// no two requests ever share one; a repeat after silence uses the same.
+func (s *State) rent(r fleet.Rental) {
+	if s.renting >= 4 {
+		return
+	}
+	s.hires++
+	name := fmt.Sprintf("r-%d-%d", s.tenure.Term, s.hires)
+	s.rentAs(name, r, 0)
+}
+
+func (s *State) rentAs(name string, r fleet.Rental, try int) {
+	tenure := s.tenure
+	key := offerKey{r.Type, r.Zone, r.Spot}
+	ok := s.cloud(CloudCall{Op: CloudRent, Request: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, 50)}, func(d CloudDone) {
+		if s.tenure != tenure {
+			return
+		}
+		s.renting--
+		switch d.Status {
+		case 200:
+			s.log(slog.LevelInfo, "rented", "request", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(d.Hosts), "term", tenure.Term)
+			for _, h := range d.Hosts {
+				m := s.machine(h)
+				if !m.up {
+					m.hiredAt = s.now
+				}
+				s.describe(m, "", r.Type, r.Zone, r.Spot)
+			}
+			if len(d.Hosts) < min(r.Count, 50) {
+				s.refuse(key)
+			} else {
+				delete(s.refused, key)
+			}
+		case 0:
+			if try < 3 {
+				s.rentAs(name, r, try+1)
+			}
+		default:
+			s.refuse(key)
+		}
+	})
+	if ok {
+		s.renting++
+	}
+}
+
+func (s *State) refuse(key offerKey) {
+	r := s.refused[key]
+	if r == nil {
+		r = &refusal{}
+		s.refused[key] = r
+	}
+	r.count++
+	r.until = s.now + s.cfg.Lease/2<<min(r.count-1, 3)
+}
--- /dev/null
+++ b/internal/core/dispatch.go
@@ -0,0 +1,377 @@
+package core
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// waiting says whether any job wants a machine.
+func (s *State) waiting() bool {
+	for _, j := range s.active {
+		if j.waiting() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ripe says whether tasks of j may start now.
+func (s *State) ripe(j *job) bool {
+	// A task of an older job that no machine has shown may still be
+	// somewhere, until every machine of the roster is accounted for.
+	return (s.settled || j.arrival > s.electedRev) && s.now >= j.retryAt
+}
+
+// dispatch makes a round of decisions and sends what it decided.
+func (s *State) dispatch() {
+	s.dirty = false
+	s.nextRound = s.now + s.cfg.ReportEvery/6
+	env := &roundEnv{s: s, views: map[*sched.Machine]*machine{}, spent: func() bool { return false }}
+	if s.cfg.Budget != nil {
+		env.spent = s.cfg.Budget()
+	}
+	queue := s.queueView()
+	env.jobs = make(map[*sched.Job]*job, len(queue))
+	entries := make([]*sched.Job, len(queue))
+	for i, j := range queue {
+		entries[i] = j.entry
+		env.jobs[j.entry] = j
+	}
+	var views []*sched.Machine
+	for _, m := range s.sortedMachines() {
+		if s.usable(m) {
+			s.refreshView(m)
+			views = append(views, &m.view)
+			env.views[&m.view] = m
+		} else if len(m.view.Local) > 0 {
+			m.view.Local = nil // back to the global queue
+		}
+	}
+	// Local queues hold tasks that are not in the global count; drop entries
+	// of jobs that no longer want them.
+	for _, v := range views {
+		kept := v.Local[:0]
+		for _, q := range v.Local {
+			if env.jobs[q.Job] != nil && q.Job.Waiting > 0 {
+				q.Job.Waiting--
+				kept = append(kept, q)
+			}
+		}
+		v.Local = kept
+	}
+	if !s.round.Run(s.now, entries, views, env) {
+		s.dirty = true // goes on where it stopped
+	}
+	s.makeRoom(queue, env)
+	for m := range env.touched {
+		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
+			s.flush(m)
+		}
+	}
+}
+
+// queueView lists the jobs with waiting tasks, most urgent first and then by
+// arrival.
+func (s *State) queueView() []*job {
+	var queue []*job
+	for _, j := range s.active {
+		n := j.waiting()
+		if n == 0 || !s.ripe(j) {
+			continue
+		}
+		if j.entry == nil {
+			j.entry = &sched.Job{
+				ID: j.ID, Rank: j.rank, Arrival: j.arrival,
+				Need:  sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB},
+				Image: j.Image, ImageGB: j.ImageGB,
+				Estimate: time.Duration(j.Estimate * float64(time.Second)),
+				Endless:  j.Kind == model.Service,
+			}
+		}
+		j.entry.Waiting = n
+		queue = append(queue, j)
+	}
+	sort.Slice(queue, func(a, b int) bool {
+		if queue[a].rank != queue[b].rank {
+			return queue[a].rank < queue[b].rank
+		}
+		return queue[a].arrival < queue[b].arrival
+	})
+	return queue
+}
+
+func (s *State) sortedMachines() []*machine {
+	list := make([]*machine, 0, len(s.machines))
+	for _, m := range s.machines {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].host < list[b].host })
+	return list
+}
+
+// usable says whether m may be given new tasks.
+func (s *State) usable(m *machine) bool {
+	return m.adopted && m.rostered && !m.lapsed && !m.returning && m.recallAt == 0 && m.typ != nil &&
+		s.now >= m.downUntil && s.now-m.lastBeat < 2*s.cfg.ReportEvery+s.cfg.Lease/8
+}
+
+// refreshView works out m's free room and what runs on it.
+func (s *State) refreshView(m *machine) {
+	v := &m.view
+	v.Free = v.Capacity
+	v.Running = v.Running[:0]
+	for _, t := range m.tasks {
+		need := sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB}
+		v.Free = v.Free.Sub(need)
+		end := sched.Never
+		if t.killing {
+			end = s.now + time.Duration(t.grace*float64(time.Second)) + time.Second
+		} else if t.job.Kind != model.Service {
+			begin := t.since
+			if t.state != model.TaskRunning {
+				begin = s.now
+			}
+			end = max(s.now, begin+time.Duration(t.job.Estimate*float64(time.Second)))
+		}
+		v.Running = append(v.Running, sched.Running{Need: need, End: end})
+	}
+	for name := range m.strangers {
+		id, _, _ := model.SplitTask(name)
+		if j := s.jobs[id]; j != nil {
+			v.Free = v.Free.Sub(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB})
+		} else {
+			v.Free = sched.Resources{} // unknown size: wait until it is gone
+		}
+	}
+	kept := v.Fetching[:0]
+	for _, f := range v.Fetching {
+		if !v.Images.Has(f.Image) {
+			kept = append(kept, f)
+		}
+	}
+	v.Fetching = kept
+}
+
+// roundEnv is what the dispatch rule sees of the state.
+type roundEnv struct {
+	s       *State
+	jobs    map[*sched.Job]*job
+	views   map[*sched.Machine]*machine
+	touched map[*machine]bool
+	spent   func() bool
+}
+
+func (e *roundEnv) Spent() bool { return e.spent() }
+
+func (e *roundEnv) Allowed(sj *sched.Job, v *sched.Machine) bool {
+	return e.s.allowed(e.jobs[sj], e.views[v])
+}
+
+// allowed checks type, zone, kind and the job's other tasks, counting every
+// task that may still be somewhere.
+func (s *State) allowed(j *job, m *machine) bool {
+	if m.keptFor != nil && m.keptFor != j && s.now < m.keptUntil {
+		return false
+	}
+	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
+		return false
+	}
+	if j.OneZone || j.Spread {
+		here := 0
+		for _, t := range j.tasks {
+			if t.m.zone == m.zone {
+				here++
+			} else if j.OneZone {
+				return false
+			}
+		}
+		if j.Spread && here >= j.ZoneCap() {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.underLimit(e.jobs[sj]) }
+
+// underLimit says whether one more task of j keeps its team within its limit.
+func (s *State) underLimit(j *job) bool {
+	lim := s.cfg.Teams[j.Team].Limit
+	if lim.CPUs == 0 && lim.GPUs == 0 {
+		return true
+	}
+	var used sched.Resources
+	for _, m := range s.machines {
+		for _, t := range m.tasks {
+			if t.job.Team == j.Team {
+				used = used.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+			}
+		}
+		for name := range m.strangers {
+			id, _, _ := model.SplitTask(name)
+			if o := s.jobs[id]; o != nil && o.Team == j.Team {
+				used = used.Add(sched.Resources{CPUs: o.CPUs, GPUs: o.GPUs})
+			}
+		}
+	}
+	const slack = 1e-6
+	return (lim.CPUs == 0 || used.CPUs+j.CPUs <= lim.CPUs+slack) && (lim.GPUs == 0 || used.GPUs+j.GPUs <= lim.GPUs+slack)
+}
+
+// Place binds the next waiting task of a job to a machine.
+func (e *roundEnv) Place(sj *sched.Job, v *sched.Machine, path sched.Path) bool {
+	s, j, m := e.s, e.jobs[sj], e.views[v]
+	i, ok := j.take()
+	if !ok {
+		sj.Waiting = 0
+		return false
+	}
+	s.attempts++
+	t := &task{
+		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session, bound: s.now,
+		attempt: s.tenure.Term<<attemptBits | s.attempts,
+	}
+	j.tasks[i], m.tasks[t.name] = t, t
+	sj.Waiting--
+	need := sj.Need
+	v.Free = v.Free.Sub(need)
+	end := sched.Never
+	if !sj.Endless {
+		end = s.now + sj.Estimate
+	}
+	v.Running = append(v.Running, sched.Running{Need: need, End: end})
+	if !v.Images.Has(j.Image) {
+		found := false
+		for _, f := range v.Fetching {
+			found = found || f.Image == j.Image
+		}
+		if !found {
+			v.Fetching = append(v.Fetching, sched.Fetch{Image: j.Image, GB: j.ImageGB, Since: s.now})
+		}
+	}
+	m.idleSince = s.now
+	if m.keptFor == j {
+		m.keptFor = nil
+	}
+	s.paths[path]++
+	if e.touched == nil {
+		e.touched = map[*machine]bool{}
+	}
+	e.touched[m] = true
+	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.tenure.Term)
+	return true
+}
+
+// makeRoom stops work of lower priority for services that find no room.
+func (s *State) makeRoom(queue []*job, env *roundEnv) {
+	for _, j := range queue {
+		if j.rank != model.Rank(model.Prod) {
+			continue
+		}
+		n := j.entry.Waiting
+		for _, m := range s.machines {
+			if m.keptFor == j && s.now < m.keptUntil {
+				n-- // room is being made already
+			}
+		}
+		for ; n > 0 && s.underLimit(j); n-- {
+			if !s.preemptFor(j, env) {
+				break
+			}
+		}
+	}
+}
+
+// preemptFor stops the least work, by what would be lost, that makes room for
+// one task of j on one machine.
+func (s *State) preemptFor(j *job, env *roundEnv) bool {
+	var best *machine
+	var victims []*task
+	bestLoss := 0.0
+	for _, m := range s.sortedMachines() {
+		if !s.usable(m) || m.keptFor != nil && s.now < m.keptUntil || !m.view.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+			continue
+		}
+		free := m.view.Free
+		var cand []*task
+		for _, t := range m.tasks {
+			if t.job.rank > j.rank && !t.killing {
+				cand = append(cand, t)
+			} else if t.killing {
+				free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
+			}
+		}
+		sort.Slice(cand, func(a, b int) bool {
+			la, lb := s.loss(cand[a]), s.loss(cand[b])
+			return la < lb || la == lb && cand[a].attempt > cand[b].attempt
+		})
+		loss := 0.0
+		var take []*task
+		for _, t := range cand {
+			if free.Fits(j.entry.Need) {
+				break
+			}
+			free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
+			loss += s.loss(t)
+			take = append(take, t)
+		}
+		if !free.Fits(j.entry.Need) {
+			continue
+		}
+		if !m.view.Images.Has(j.Image) {
+			loss += j.ImageGB / m.view.Rate * j.CPUs
+		}
+		if best == nil || loss < bestLoss {
+			best, victims, bestLoss = m, take, loss
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, t := range victims {
+		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", best.host, "for", j.ID, "term", s.tenure.Term)
+		s.kill(t, 0)
+	}
+	best.keptFor, best.keptUntil = j, s.now+s.cfg.Lease/2
+	if env.touched == nil {
+		env.touched = map[*machine]bool{}
+	}
+	env.touched[best] = true
+	return true
+}
+
+// loss is the work in CPU seconds that stopping t at once throws away.
+func (s *State) loss(t *task) float64 {
+	if t.state != model.TaskRunning {
+		return 0
+	}
+	ran := (s.now - t.since).Seconds()
+	if t.job.Checkpoint > 0 && ran > t.job.Checkpoint {
+		for ran > t.job.Checkpoint {
+			ran -= t.job.Checkpoint
+		}
+	}
+	return ran * t.job.CPUs
+}
+
+// shareCounts tells the peers how many tasks run, for display.
+func (s *State) shareCounts() {
+	if s.now < s.countsAt {
+		return
+	}
+	s.countsAt = s.now + time.Second
+	counts := make(map[string]int, len(s.active))
+	for id, j := range s.active {
+		if len(counts) >= 1000 {
+			break
+		}
+		counts[id] = j.liveTasks()
+	}
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgCounts, Counts: counts}})
+	}
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,292 @@
+package core
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"log/slog"
+	"math/bits"
+	"strconv"
+	"strings"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// jobValue is a job in the state service. Once a job is over, its spec is
+// dropped: only the outcome must be kept for ever.
+type jobValue struct {
+	Spec  *model.Job `json:"spec,omitempty"`
+	At    int64      `json:"at,omitempty"` // submission, ms of the day's clock
+	Phase string     `json:"phase,omitempty"`
+	Tasks int        `json:"tasks,omitempty"`
+}
+
+// job is a row of the job table.
+type job struct {
+	model.Job
+	phase   string // "" while active
+	arrival uint64 // revision of its acceptance: the order of the queue
+	rank    int
+
+	doneBits  []uint64
+	doneCount int
+	chunks    map[int]*chunk
+	finishing bool // the write of "done" is under way
+
+	running int // as the leader last told, for display
+
+	// The leader's part.
+	tasks   map[int]*task // bound to a machine, or may still be there
+	next    int           // tasks from here on never started in this term
+	retry   []int         // tasks to start again
+	entry   *sched.Job
+	errors  int // exits with "error" in a row
+	retryAt time.Duration
+}
+
+// chunk is a slice of the finished-task bitmap with its own key, so that the
+// largest job fits the store's values.
+type chunk struct {
+	dirty   bool // bits not yet durable
+	writing bool
+	at      time.Duration // last write
+	durable []uint64
+}
+
+const (
+	chunkTasks = 32768
+	chunkWords = chunkTasks / 64
+)
+
+func (j *job) final() bool { return j.phase != "" }
+
+func (j *job) isDone(i int) bool { return j.doneBits[i/64]&(1<<(i%64)) != 0 }
+
+func (j *job) liveTasks() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.state == model.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+func (j *job) forgetTerm() {
+	j.tasks = map[int]*task{}
+	j.next, j.retry, j.errors, j.retryAt = 0, nil, 0, 0
+	j.entry = nil
+	j.finishing = false
+}
+
+// waiting is how many tasks want a machine.
+func (j *job) waiting() int {
+	return max(0, j.Tasks-j.doneCount-len(j.tasks))
+}
+
+// take hands out a task that wants a machine.
+func (j *job) take() (int, bool) {
+	for len(j.retry) > 0 {
+		i := j.retry[0]
+		j.retry = j.retry[1:]
+		if !j.isDone(i) && j.tasks[i] == nil {
+			return i, true
+		}
+	}
+	for j.next < j.Tasks {
+		i := j.next
+		j.next++
+		if !j.isDone(i) && j.tasks[i] == nil {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// jobChanged takes a job's key.
+func (s *State) jobChanged(id string, it Item) {
+	if it.Removed {
+		return // never done by us: jobs are kept for ever
+	}
+	var v jobValue
+	if err := json.Unmarshal(it.Value, &v); err != nil {
+		s.log(slog.LevelError, "unreadable job", "job", id, "error", err.Error())
+		return
+	}
+	j := s.jobs[id]
+	if j == nil {
+		j = &job{Job: model.Job{ID: id, Tasks: v.Tasks}, tasks: map[int]*task{}}
+		s.jobs[id] = j
+		if v.Spec != nil {
+			j.Job = *v.Spec
+			j.arrival, j.rank = it.Stamp, model.Rank(j.Priority)
+			j.doneBits = make([]uint64, (j.Tasks+63)/64)
+			j.chunks = map[int]*chunk{}
+			s.active[id] = j
+		}
+	}
+	s.dirty = true
+	if v.Phase != "" && j.phase == "" {
+		j.phase = v.Phase
+		delete(s.active, id)
+		s.log(slog.LevelInfo, "job over", "job", id, "phase", v.Phase)
+		if s.tenure != nil && s.electedAt != 0 {
+			s.jobOver(j)
+		}
+		j.retry, j.chunks, j.doneBits, j.entry = nil, nil, nil, nil
+	}
+}
+
+// jobOver rids the machines of a job that was withdrawn.
+func (s *State) jobOver(j *job) {
+	for _, t := range j.tasks {
+		s.kill(t, 0)
+	}
+	for _, m := range s.machines {
+		kept := m.view.Local[:0]
+		for _, q := range m.view.Local {
+			if q.Job.ID != j.ID {
+				kept = append(kept, q)
+			}
+		}
+		m.view.Local = kept
+	}
+}
+
+// bitmapChanged merges finished tasks from the state service.
+func (s *State) bitmapChanged(name string, it Item) {
+	id, at, ok := strings.Cut(name, "/")
+	j := s.jobs[id]
+	n, err := strconv.Atoi(at)
+	if !ok || err != nil || j == nil || j.final() {
+		return
+	}
+	var v struct {
+		Bits string `json:"b"`
+	}
+	if json.Unmarshal(it.Value, &v) != nil {
+		return
+	}
+	b, err := base64.StdEncoding.DecodeString(v.Bits)
+	if err != nil {
+		return
+	}
+	c := j.chunk(n)
+	for i := range b {
+		w := n*chunkWords + i/8
+		if w >= len(j.doneBits) {
+			break
+		}
+		word := uint64(b[i]) << (8 * (i % 8))
+		c.durable[i/8] |= word
+		fresh := word &^ j.doneBits[w]
+		j.doneBits[w] |= word
+		j.doneCount += bits.OnesCount64(fresh)
+	}
+}
+
+func (j *job) chunk(n int) *chunk {
+	c := j.chunks[n]
+	if c == nil {
+		words := min(chunkWords, len(j.doneBits)-n*chunkWords)
+		c = &chunk{durable: make([]uint64, max(words, 0))}
+		j.chunks[n] = c
+	}
+	return c
+}
+
+// finished notes that a task has completed, whoever reports it and however
+// late.
+func (s *State) finished(j *job, i int) {
+	if j.final() || i >= j.Tasks || j.isDone(i) {
+		return
+	}
+	j.doneBits[i/64] |= 1 << (i % 64)
+	j.doneCount++
+	j.chunk(i / chunkTasks).dirty = true
+	s.dirty = true
+	if t := j.tasks[i]; t != nil {
+		s.kill(t, 0) // its result is kept: another attempt is wasted
+	}
+	if j.doneCount == j.Tasks {
+		s.finishJob(j)
+	}
+}
+
+// durable says whether a finished task is safe to forget.
+func (j *job) durable(i int) bool {
+	if j.final() {
+		return true
+	}
+	c := j.chunks[i/chunkTasks]
+	return c != nil && c.durable[(i%chunkTasks)/64]&(1<<(i%64)) != 0
+}
+
+// finishJob makes "done" durable. Against a withdrawal the guard on the key
+// decides.
+func (s *State) finishJob(j *job) {
+	if j.finishing || !s.Leading() {
+		return
+	}
+	j.finishing = true
+	key := dirJobs + j.ID
+	value := raw(jobValue{Phase: model.PhaseDone, Tasks: j.Tasks})
+	var extra []Change
+	for n := range j.chunks {
+		k := dirProgress + j.ID + "/" + strconv.Itoa(n)
+		if s.stamp(k) != 0 && len(extra) < s.cfg.TxnOps-1 {
+			extra = append(extra, Change{Key: k, Remove: true})
+		}
+	}
+	s.put(&write{
+		change: Change{Key: key, Value: value}, leader: s.tenure.Term, deadline: s.now + time.Hour, extra: extra,
+		done: func(r outcome) {
+			j.finishing = false
+			if r == written {
+				s.nudge(key, value)
+			}
+		},
+	})
+}
+
+// keepBitmaps writes what has finished, each job at most every few seconds.
+func (s *State) keepBitmaps() {
+	for _, j := range s.active {
+		if j.doneCount == j.Tasks {
+			s.finishJob(j)
+			continue
+		}
+		for n, c := range j.chunks {
+			if !c.dirty || c.writing || s.now < c.at+s.cfg.WriteEvery {
+				continue
+			}
+			s.writeChunk(j, n, c)
+		}
+	}
+}
+
+func (s *State) writeChunk(j *job, n int, c *chunk) {
+	c.dirty, c.writing, c.at = false, true, s.now
+	bits := append([]uint64(nil), j.doneBits[n*chunkWords:n*chunkWords+len(c.durable)]...)
+	b := make([]byte, 0, len(bits)*8)
+	for _, w := range bits {
+		for k := 0; k < 8; k++ {
+			b = append(b, byte(w>>(8*k)))
+		}
+	}
+	for len(b) > 0 && b[len(b)-1] == 0 {
+		b = b[:len(b)-1]
+	}
+	s.put(&write{
+		change:   Change{Key: dirProgress + j.ID + "/" + strconv.Itoa(n), Value: raw(map[string]string{"b": base64.StdEncoding.EncodeToString(b)})},
+		leader:   s.tenure.Term,
+		deadline: s.now + time.Hour,
+		done: func(r outcome) {
+			c.writing = false
+			if r != written {
+				c.dirty = true
+			}
+		},
+	})
+}
--- /dev/null
+++ b/internal/core/lead.go
@@ -0,0 +1,390 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"mulleinfall/internal/election"
+	"mulleinfall/internal/sched"
+)
+
+// lead is what concerns leadership: promises, candidacy and the leader's own
+// bookkeeping, which a new term starts afresh.
+type lead struct {
+	voter    *election.Voter
+	peers    map[string]*peerState
+	tenure   *election.Tenure // candidacy or leadership; nil for a follower
+	grant    uint64           // lease of the leader key
+	grantAt  time.Duration    // sending of the request that got it
+	bidding  bool             // grant or key transaction under way
+	nextBid  time.Duration
+	claimAt  time.Duration
+	touchAt  time.Duration
+	touching bool
+	abstain  time.Duration            // no candidacy before
+	asked    map[string]time.Duration // workers that came here while another leads
+
+	electedAt  time.Duration
+	electedRev uint64
+	ready      bool // the replica has caught up with the election
+	settled    bool // every task of older jobs is accounted for
+	attempts   uint64
+	hires      uint64
+	dirty      bool
+	nextRound  time.Duration
+	countsAt   time.Duration
+	beatAt     time.Duration // last report answered with 200
+	round      *sched.Round
+	paths      map[sched.Path]int
+	fleetState
+}
+
+type peerState struct {
+	storeOK   bool
+	heard     time.Duration
+	refusedAt time.Duration
+	workers   int
+	top       uint64 // highest term that the peer knows of
+}
+
+// Leading says whether this node may act as leader now.
+func (s *State) Leading() bool {
+	return s.tenure != nil && s.ready && s.tenure.Entitled(s.now)
+}
+
+// term of the leader's keys: attempts, hires and epochs are built from it, so
+// that none is ever used twice. All stay below 2^53.
+const (
+	fenceBits   = 20
+	attemptBits = 24
+)
+
+func (s *State) epochBase() uint64 { return s.tenure.Term << fenceBits }
+
+// settleDown ends a leadership whose entitlement has run out.
+func (s *State) settleDown() {
+	if s.tenure != nil && s.electedAt != 0 && !s.tenure.Entitled(s.now) {
+		s.stepDown("entitlement ran out")
+	}
+}
+
+// superseded ends a leadership or candidacy overtaken by a higher term.
+func (s *State) superseded() {
+	if s.tenure != nil && s.term > s.tenure.Term {
+		s.stepDown("a higher term was won")
+	}
+	if s.tenure != nil && s.electedAt == 0 && !s.bidding && s.term >= s.tenure.Term {
+		s.stepDown("the term was won by another")
+	}
+}
+
+func (s *State) stepDown(why string) {
+	if s.tenure == nil {
+		return
+	}
+	term := s.tenure.Term
+	s.tenure.End()
+	if s.electedAt != 0 {
+		s.log(slog.LevelInfo, "stepping down", "term", term, "why", why)
+	} else {
+		s.log(slog.LevelDebug, "candidacy over", "term", term, "why", why)
+	}
+	// Peers need not wait out a promise that nobody relies on any more, nor
+	// the store a lease.
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgRelease, Term: term}})
+	}
+	s.voter.Release(s.cfg.Self, term)
+	if s.grant != 0 {
+		s.store(StoreCall{Op: StoreRevoke, Lease: s.grant}, func(StoreDone) {})
+	}
+	s.tenure, s.grant, s.ready, s.settled, s.electedAt, s.touching = nil, 0, false, false, 0, false
+	s.nextBid = s.now + s.pause()
+	for _, m := range s.machines {
+		m.forgetTerm()
+	}
+	for _, j := range s.active {
+		j.forgetTerm()
+	}
+	s.fleetState = fleetState{}
+}
+
+// pause staggers candidacies, so that two rarely split the promises.
+func (s *State) pause() time.Duration {
+	return time.Duration((0.05 + 0.25*s.rnd.Float64()) * float64(s.ecf.Promise))
+}
+
+// campaign keeps a leadership up or tries to win one.
+func (s *State) campaign() {
+	if s.tenure != nil && s.electedAt != 0 {
+		s.keepUp()
+		return
+	}
+	if s.tenure != nil {
+		s.bid()
+		return
+	}
+	if s.now < s.nextBid || s.now < s.abstain || !s.storeOK() || s.leaderNode != "" {
+		return
+	}
+	if node, bound := s.voter.Bound(s.now); bound && node != s.cfg.Self {
+		return
+	}
+	term := max(s.term, s.voter.Top())
+	for _, p := range s.peers {
+		term = max(term, p.top)
+	}
+	term++
+	s.tenure = election.NewTenure(s.ecf, term)
+	s.claimAt, s.grant, s.bidding = 0, 0, false
+	s.nextBid = s.now + s.ecf.Promise // candidacy ends here
+	s.bid()
+}
+
+// bid gathers promises and the key.
+func (s *State) bid() {
+	if s.now >= s.nextBid && !s.bidding {
+		s.stepDown("no majority in time")
+		return
+	}
+	if s.now >= s.claimAt {
+		s.claim(s.ecf.Promise / 6)
+	}
+	if s.bidding || !s.tenure.Supported(s.now) {
+		return
+	}
+	t := s.tenure
+	if s.grant == 0 {
+		s.bidding = true
+		sent := s.now
+		s.store(StoreCall{Op: StoreGrant, Life: s.ecf.KeyLife}, func(d StoreDone) {
+			if s.tenure != t {
+				return
+			}
+			s.bidding = false
+			if d.Status != 200 {
+				s.stepDown("no lease")
+				return
+			}
+			s.grant, s.grantAt = d.Lease, sent
+			s.bid()
+		})
+		return
+	}
+	s.bidding = true
+	sent := s.grantAt
+	s.store(StoreCall{
+		Op:     StoreTxn,
+		Guards: []Guard{{keyTerm, s.termStamp}, {keyLeader, 0}},
+		Then: []Change{
+			{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term})},
+			{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Lease: s.grant},
+		},
+	}, func(d StoreDone) {
+		if s.tenure != t {
+			return
+		}
+		s.bidding = false
+		if d.Status != 200 || !t.Elected(s.now, sent) {
+			s.stepDown("key not won")
+			return
+		}
+		s.apply(Item{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term}), Stamp: d.Rev})
+		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
+		s.electedAt, s.electedRev = s.now, d.Rev
+		s.claimAt, s.touchAt = 0, s.now
+		s.log(slog.LevelInfo, "elected", "term", t.Term)
+		s.catchUp()
+	})
+}
+
+// catchUp makes sure that the new leader has seen all that former leaders
+// have written, before it acts.
+func (s *State) catchUp() {
+	t := s.tenure
+	s.fresh(func(ok bool) {
+		if s.tenure != t || s.ready {
+			return
+		}
+		if !ok || s.rev < s.electedRev {
+			s.catchUp()
+			return
+		}
+		s.ready = true
+		s.takeOver()
+	})
+}
+
+// claim asks the peers for promises, as candidate or leader.
+func (s *State) claim(every time.Duration) {
+	s.claimAt = s.now + every
+	t := s.tenure
+	if s.voter.Grant(s.now, s.cfg.Self, t.Term) {
+		t.Promised(s.now, s.cfg.Self, s.now)
+	}
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgClaim, Term: t.Term, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}})
+	}
+}
+
+// keepUp renews promises and key, and gives the term up when another node
+// could serve and this one can't.
+func (s *State) keepUp() {
+	if s.now >= s.claimAt {
+		s.claim(s.ecf.Promise / 5)
+	}
+	if s.now >= s.touchAt && !s.touching {
+		s.touch()
+	}
+	if !s.ready {
+		return
+	}
+	if s.storeAge() > s.storeGap() {
+		// Cut off from the store while a peer reaches it: that peer refuses
+		// its promise. Without waiting for the promise to run out, let go.
+		for _, p := range s.peers {
+			if p.storeOK && s.now-p.heard < s.ecf.Promise/2 && p.refusedAt > s.now-s.ecf.Promise/2 {
+				s.abstain = s.now + s.ecf.Promise
+				s.stepDown("the state service is out of reach here but not elsewhere")
+				return
+			}
+		}
+	}
+	if s.now-max(s.beatAt, s.electedAt) > s.cfg.Lease/3 {
+		for _, p := range s.peers {
+			if p.workers > 0 && s.now-p.heard < s.ecf.Promise/2 {
+				s.abstain = s.now + s.cfg.Lease
+				s.stepDown("no worker reaches this node but others do")
+				return
+			}
+		}
+	}
+}
+
+func (s *State) touch() {
+	t, sent, grant := s.tenure, s.now, s.grant
+	s.touching = true
+	s.touchAt = s.now + s.ecf.KeyLife/4
+	s.store(StoreCall{Op: StoreTouch, Lease: grant}, func(d StoreDone) {
+		if s.tenure != t {
+			return
+		}
+		s.touching = false
+		switch d.Status {
+		case 200:
+			t.Renewed(s.now, sent)
+		case 404:
+			t.KeyLost()
+			s.remakeKey()
+		default:
+			s.touchAt = s.now + s.ecf.KeyLife/10
+		}
+	})
+}
+
+// remakeKey sets the leader key again after a lease that ended while promises
+// carried the leader on. The guard on the term keeps it from succeeding once
+// another has been elected.
+func (s *State) remakeKey() {
+	t, sent := s.tenure, s.now
+	s.touching = true
+	s.store(StoreCall{Op: StoreGrant, Life: s.ecf.KeyLife}, func(d StoreDone) {
+		if s.tenure != t {
+			return
+		}
+		s.touching = false
+		if d.Status != 200 {
+			return
+		}
+		s.grant = d.Lease
+		s.touching = true
+		s.store(StoreCall{
+			Op:     StoreTxn,
+			Guards: []Guard{{keyTerm, s.termStamp}, {keyLeader, 0}},
+			Then:   []Change{{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Lease: d.Lease}},
+		}, func(d StoreDone) {
+			if s.tenure != t {
+				return
+			}
+			s.touching = false
+			if d.Status == 200 {
+				t.Renewed(s.now, sent)
+				s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
+			}
+		})
+	})
+}
+
+// peer takes a message from another controller.
+func (s *State) peer(from string, m PeerMsg) {
+	p := s.peers[from]
+	if p == nil {
+		return
+	}
+	switch m.Kind {
+	case MsgClaim:
+		p.storeOK, p.heard = m.StoreOK, s.now
+		granted := true
+		if m.StoreAge > s.storeGap() && s.storeAge() < s.storeGap()/2 && s.contact-s.okSince > s.storeGap()/2 {
+			// The claimant has lost the state service and this node has not.
+			granted = false
+		}
+		granted = granted && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
+		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted,
+			StoreOK: s.storeOK(), Workers: s.askers(), Top: max(s.term, s.voter.Top())}})
+	case MsgPromise:
+		p.storeOK, p.heard, p.workers, p.top = m.StoreOK, s.now, m.Workers, m.Top
+		if s.tenure == nil || s.tenure.Term != m.Term {
+			return
+		}
+		if m.Granted {
+			s.tenure.Promised(s.now, from, m.Sent)
+			if s.electedAt == 0 {
+				s.bid()
+			}
+		} else {
+			p.refusedAt = s.now
+		}
+	case MsgRelease:
+		s.voter.Release(from, m.Term)
+	case MsgNudge:
+		s.apply(Item{Key: m.Key, Value: m.Value, Stamp: m.Stamp})
+	case MsgCounts:
+		for id, n := range m.Counts {
+			if j := s.active[id]; j != nil {
+				j.running = n
+			}
+		}
+	case MsgAsk:
+		s.askedBy(from, m)
+	case MsgAnswer:
+		s.answered(m)
+	}
+}
+
+// askers counts the workers that have come here lately, though another leads.
+func (s *State) askers() int {
+	n := 0
+	for host, at := range s.asked {
+		if s.now-at < s.cfg.Lease/4 {
+			n++
+		} else {
+			delete(s.asked, host)
+		}
+	}
+	return n
+}
+
+// leaderName is the node that leads as far as this one knows.
+func (s *State) leaderName() string {
+	if s.tenure != nil && s.electedAt != 0 {
+		return s.cfg.Self
+	}
+	if node, bound := s.voter.Bound(s.now); bound && node != s.cfg.Self {
+		return node
+	}
+	if s.leaderNode != s.cfg.Self {
+		return s.leaderNode
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,622 @@
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// task is a task that is bound to a machine: it is there, or it may be. It is
+// unbound only when that machine shows that the attempt is over or never
+// began, or when the machine's lease has surely run out, or when the cloud
+// has confirmed that the machine is gone.
+type task struct {
+	job     *job
+	index   int
+	name    string
+	attempt uint64
+	m       *machine
+	session uint64 // of the worker, at the time of binding
+
+	issued      bool   // a start has been sent
+	issuedSeq   uint64 // report in whose answer it was last sent
+	directEpoch uint64 // epoch of a direct start without a known outcome
+
+	state   string        // as last reported
+	since   time.Duration // running since
+	bound   time.Duration
+	killing bool
+	grace   float64
+	killAt  time.Duration // when it was told to stop
+}
+
+// machine is a row of the machine table.
+type machine struct {
+	host, endpoint string
+	typ            *model.MachineType
+	typeName, zone string
+	spot           bool
+	view           sched.Machine
+
+	session, seq uint64
+	seen         uint64 // highest epoch that it has shown
+	fence        uint64 // low bits of the epoch in use
+
+	up         bool // has reported, in this term
+	adopted    bool // has shown an epoch of this term: its list is complete
+	lapsed     bool // its lease has surely run out
+	rostered   bool
+	rosterBusy bool
+	returning  bool
+	dead       bool          // the cloud says that it has failed
+	lastBeat   time.Duration // receipt of the last report answered with 200
+	hiredAt    time.Duration
+	idleSince  time.Duration
+	recallAt   time.Duration // 0: none
+	downUntil  time.Duration // no new tasks before (refusals, errors)
+	errors     int
+
+	tasks     map[string]*task
+	strangers map[string]model.TaskReport
+
+	direct    bool          // a direct command is under way
+	directAt  time.Duration // no direct command before
+	doubt     uint64        // epoch of a direct command without an answer
+	keptFor   *job          // room made by preemption is kept for this job
+	keptUntil time.Duration
+}
+
+// rosterValue is a machine in the state service: written before the machine
+// is given its first task, so that a successor knows whom to ask.
+type rosterValue struct {
+	Endpoint string `json:"endpoint"`
+	Type     string `json:"type"`
+	Zone     string `json:"zone"`
+	Spot     bool   `json:"spot,omitempty"`
+}
+
+func (s *State) machine(host string) *machine {
+	m := s.machines[host]
+	if m == nil {
+		m = &machine{host: host, tasks: map[string]*task{}, strangers: map[string]model.TaskReport{}, hiredAt: s.now, idleSince: s.now}
+		m.view.ID = host
+		s.machines[host] = m
+	}
+	return m
+}
+
+// describe sets what kind of machine m is.
+func (s *State) describe(m *machine, endpoint, typ, zone string, spot bool) {
+	if endpoint != "" {
+		m.endpoint = endpoint
+	}
+	m.typeName, m.zone, m.spot = typ, zone, spot
+	if t := s.types[typ]; t != nil && m.typ != t {
+		m.typ = t
+		m.view.Capacity = sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+		m.view.Rate = max(t.FetchRate, 0.001)
+		m.view.Price = t.Price
+		if spot {
+			m.view.Price = t.SpotPrice
+		}
+		if m.view.Images == nil {
+			m.view.Images = &sched.Cache{}
+		}
+		m.view.Images.Size = t.CacheGB
+	}
+}
+
+// forgetTerm drops what only the leader of a term may rely on.
+func (m *machine) forgetTerm() {
+	m.up, m.adopted, m.lapsed, m.returning, m.direct, m.rosterBusy = false, false, false, false, false, false
+	m.tasks = map[string]*task{}
+	m.strangers = map[string]model.TaskReport{}
+	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
+	m.keptFor = nil
+	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
+}
+
+func (s *State) rosterChanged(host string, it Item) {
+	if it.Removed {
+		if m := s.machines[host]; m != nil {
+			m.rostered = false
+			if !s.Leading() {
+				delete(s.machines, host)
+			}
+		}
+		return
+	}
+	var v rosterValue
+	if json.Unmarshal(it.Value, &v) != nil {
+		return
+	}
+	m := s.machine(host)
+	m.rostered = true
+	s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
+}
+
+// takeOver begins a term: every machine that a former leader may have given
+// tasks is asked, and fenced, by an empty command under the new epoch.
+func (s *State) takeOver() {
+	s.log(slog.LevelInfo, "leading", "term", s.tenure.Term, "jobs", len(s.active), "machines", len(s.machines))
+	s.attempts, s.hires, s.beatAt = 0, 0, s.now
+	s.settled = false
+	s.paths = map[sched.Path]int{}
+	for host, m := range s.machines {
+		if !m.rostered {
+			delete(s.machines, host)
+			continue
+		}
+		m.forgetTerm()
+		m.lastBeat, m.idleSince, m.hiredAt = s.electedAt, s.now, s.now
+	}
+	for _, j := range s.active {
+		j.forgetTerm()
+		if j.doneCount == j.Tasks {
+			s.finishJob(j)
+		}
+	}
+	s.startFleet()
+	s.checkSettled()
+	s.reachOut()
+}
+
+func (s *State) epoch(m *machine) uint64 { return s.epochBase() | m.fence }
+
+// leaseEnd is when m's lease has surely run out, if nobody answers it again.
+func (s *State) leaseEnd(m *machine) time.Duration {
+	l := s.cfg.Lease
+	return m.lastBeat + l + time.Duration(float64(l)*4*Drift) + l/32
+}
+
+// beat takes a worker's report.
+func (s *State) beat(e Beat) {
+	if !s.Leading() {
+		r := &e.Report
+		if s.tenure != nil && s.electedAt != 0 {
+			// Not caught up yet: neither a 200 nor a redirect.
+			s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"not ready to lead"}})
+			return
+		}
+		if s.asked == nil {
+			s.asked = map[string]time.Duration{}
+		}
+		if len(s.asked) < 10000 {
+			s.asked[r.Host] = s.now
+		}
+		s.emit(Reply{Req: e.Req, Status: 421, Body: Redirect{s.leaderName()}})
+		return
+	}
+	r := &e.Report
+	m := s.machine(r.Host)
+	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
+	if r.Epoch>>fenceBits > s.tenure.Term {
+		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.tenure.Term)
+		s.stepDown("a worker has seen a higher term")
+		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"superseded"}})
+		return
+	}
+	if r.Session < m.session || m.lapsed && r.Session == m.session {
+		// Of a session that is over: nothing may renew that lease.
+		for _, p := range r.Tasks {
+			s.lateDone(p)
+		}
+		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"session is over"}})
+		return
+	}
+	s.beatAt = s.now
+	if r.Session == m.session && r.Seq <= m.seq {
+		// Overtaken by the answer to a direct command. Its list is old, but
+		// the worker is there and its lease may be renewed.
+		for _, p := range r.Tasks {
+			s.lateDone(p)
+		}
+		m.lastBeat = s.now
+		s.emit(Reply{Req: e.Req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
+		return
+	}
+	m.lastBeat = s.now
+	s.report(m, r, true)
+	if !m.rostered {
+		s.enroll(m)
+	}
+	if s.dirty {
+		// Place first, so that what was just freed is filled by this answer.
+		s.dispatch()
+	}
+	orders := s.orders(m, r)
+	s.emit(Reply{Req: e.Req, Status: 200, Body: BeatReply{s.epoch(m), orders}, Until: s.tenure.Until()})
+}
+
+func (s *State) lateDone(p model.TaskReport) {
+	id, i, ok := model.SplitTask(p.Task)
+	if j := s.jobs[id]; ok && j != nil && p.State == model.TaskExited && p.Cause == model.CauseDone {
+		s.finished(j, i)
+	}
+}
+
+// enroll writes m to the roster.
+func (s *State) enroll(m *machine) {
+	if m.rosterBusy || m.typ == nil {
+		return
+	}
+	m.rosterBusy = true
+	s.put(&write{
+		change: Change{Key: dirMachine + m.host, Value: raw(rosterValue{m.endpoint, m.typeName, m.zone, m.spot})},
+		leader: s.tenure.Term, deadline: s.now + time.Hour,
+		done: func(r outcome) { m.rosterBusy = false; s.dirty = true },
+	})
+}
+
+// report takes in what a worker says, by its own report (own) or in answer to
+// a direct command. The caller has checked that it isn't older than the last.
+func (s *State) report(m *machine, r *model.Report, own bool) {
+	if r.Session > m.session {
+		for _, t := range m.tasks {
+			if m.session != 0 && t.session < r.Session {
+				// The worker's lease had run out: it killed all it had.
+				s.unbind(t, "new session")
+			}
+		}
+		m.session = r.Session
+		m.lapsed = false
+	}
+	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
+	m.up = true
+	if r.Epoch >= s.epochBase() && !m.adopted && !m.lapsed {
+		m.adopted = true
+		s.dirty = true
+		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.tenure.Term, "tasks", len(r.Tasks))
+	}
+	if r.Recall != nil {
+		if m.recallAt == 0 {
+			s.log(slog.LevelInfo, "machine recalled", "host", m.host, "in_s", *r.Recall)
+			s.dirty = true
+		}
+		m.recallAt = s.now + time.Duration(*r.Recall*float64(time.Second))
+	}
+	clear(m.strangers)
+	listed := make(map[string]bool, len(r.Tasks))
+	for _, p := range r.Tasks {
+		listed[p.Task] = true
+		s.piece(m, p, r)
+	}
+	for name, t := range m.tasks {
+		if listed[name] {
+			continue
+		}
+		// Not shown. Conclusive only when no start can still arrive: the
+		// worker has moved on from the answer that carried it, and has shown
+		// an epoch above that of any direct command without an outcome.
+		gone := m.adopted && t.issued && (t.directEpoch == 0 || r.Epoch > t.directEpoch) && (t.issuedSeq == 0 || own && r.Seq > t.issuedSeq)
+		if gone || m.adopted && !t.issued {
+			if t.killing {
+				s.unbind(t, "never started")
+				s.dirty = true
+			} else if t.state != "" {
+				// It was there and is not any more, in the same session.
+				s.log(slog.LevelError, "task vanished", "task", name, "attempt", t.attempt, "host", m.host, "term", s.tenure.Term)
+				s.unbind(t, "vanished")
+			}
+		} else if t.killing && t.directEpoch != 0 && m.fence <= t.directEpoch&(1<<fenceBits-1) {
+			s.raiseFence(m)
+		}
+	}
+	s.checkSettled()
+}
+
+// raiseFence gives m a higher epoch: direct commands still on their way to it
+// will not run once it has seen that.
+func (s *State) raiseFence(m *machine) {
+	if m.fence < 1<<fenceBits-1 {
+		m.fence++
+	}
+}
+
+// piece takes one task of a report.
+func (s *State) piece(m *machine, p model.TaskReport, r *model.Report) {
+	id, i, ok := model.SplitTask(p.Task)
+	if !ok {
+		return
+	}
+	j := s.jobs[id]
+	if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt {
+		s.progress(t, p)
+		return
+	}
+	if p.State == model.TaskExited {
+		if j != nil && p.Cause == model.CauseDone {
+			s.finished(j, i)
+		}
+		return
+	}
+	// Alive and not ours by this attempt: adopt what a former leader began,
+	// unless the job is over or the task is somewhere else.
+	if j != nil && !j.final() && i < j.Tasks && !j.isDone(i) && j.tasks[i] == nil {
+		t := &task{job: j, index: i, name: p.Task, attempt: p.Attempt, m: m, session: r.Session, issued: true, bound: s.now}
+		j.tasks[i], m.tasks[p.Task] = t, t
+		s.progress(t, p)
+		return
+	}
+	m.strangers[p.Task] = p
+}
+
+// progress takes a bound task's reported state.
+func (s *State) progress(t *task, p model.TaskReport) {
+	m, j := t.m, t.job
+	t.issued = true
+	if t.state != p.State {
+		s.dirty = true
+		if p.State == model.TaskRunning {
+			t.since = s.now
+			m.view.Images.Use(j.Image, j.ImageGB)
+		}
+	}
+	t.state = p.State
+	if p.State != model.TaskExited {
+		return
+	}
+	s.unbind(t, p.Cause)
+	switch p.Cause {
+	case model.CauseDone:
+		s.finished(j, t.index)
+		j.errors, m.errors = 0, 0
+		m.view.Images.Use(j.Image, j.ImageGB)
+	case model.CauseError:
+		// Mostly the machine is at fault, sometimes the job: both pause for
+		// longer each time, so that neither makes a tight loop.
+		j.errors++
+		m.errors++
+		j.retryAt = s.now + s.backoff(j.errors)
+		m.downUntil = s.now + 2*s.backoff(m.errors)
+		s.log(slog.LevelInfo, "task failed", "task", t.name, "attempt", t.attempt, "host", m.host, "term", s.tenure.Term)
+	case model.CauseNoRoom, model.CauseBusy:
+		m.downUntil = s.now + s.cfg.ReportEvery
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+	case model.CauseUnknown:
+		j.errors++
+		j.retryAt = s.now + s.backoff(j.errors)
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+	}
+}
+
+func (s *State) backoff(n int) time.Duration {
+	return s.cfg.ReportEvery << min(n-1, 5)
+}
+
+// unbind frees a task from its machine; if it isn't done it waits again.
+func (s *State) unbind(t *task, why string) {
+	delete(t.m.tasks, t.name)
+	if t.job.tasks[t.index] == t {
+		delete(t.job.tasks, t.index)
+	}
+	s.unfetch(t)
+	s.dirty = true
+	if why != model.CauseDone && !t.job.final() {
+		t.job.retry = append(t.job.retry, t.index)
+		s.log(slog.LevelDebug, "task waits again", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.tenure.Term)
+	}
+}
+
+// unfetch drops the model's fetch when no task waits for the image any more:
+// the worker gives it up then too.
+func (s *State) unfetch(t *task) {
+	v := &t.m.view
+	for _, o := range t.m.tasks {
+		if o.job.Image == t.job.Image && o.state != model.TaskRunning {
+			return
+		}
+	}
+	kept := v.Fetching[:0]
+	for _, f := range v.Fetching {
+		if f.Image != t.job.Image {
+			kept = append(kept, f)
+		}
+	}
+	v.Fetching = kept
+}
+
+// kill has a task stopped; grace 0 means at once.
+func (s *State) kill(t *task, grace float64) {
+	if !t.killing || grace < t.grace {
+		t.killing, t.grace, t.killAt = true, grace, s.now
+	}
+}
+
+// orders says what m is to do, in answer to its report r. All of it can be
+// repeated with every report until the reports show that it was done.
+func (s *State) orders(m *machine, r *model.Report) []model.Order {
+	orders := []model.Order{}
+	if !m.adopted || m.session != r.Session {
+		return orders
+	}
+	const most = 400 // keeps the answer's one line under 64 KiB
+	listed := make(map[string]model.TaskReport, len(r.Tasks))
+	// A forgotten attempt could be started again by a direct command that is
+	// still on its way; until m has seen a higher epoch nothing is forgotten.
+	mayForget := !m.direct && (m.doubt == 0 || m.seen > m.doubt)
+	for _, p := range r.Tasks {
+		listed[p.Task] = p
+		if len(orders) >= most {
+			continue
+		}
+		if p.State == model.TaskExited {
+			id, i, _ := model.SplitTask(p.Task)
+			j := s.jobs[id]
+			if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt {
+				continue
+			}
+			if mayForget && (p.Cause != model.CauseDone || j == nil || i >= j.Tasks || j.durable(i)) {
+				orders = append(orders, model.Order{Verb: model.Forget, Task: p.Task, Attempt: p.Attempt})
+			}
+		}
+	}
+	for name, p := range m.strangers {
+		if len(orders) < most {
+			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: p.Attempt, Grace: new(float64)})
+		}
+	}
+	for name, t := range m.tasks {
+		if len(orders) >= most {
+			break
+		}
+		p, shown := listed[name]
+		shown = shown && p.Attempt == t.attempt
+		switch {
+		case t.killing && shown:
+			orders = append(orders, t.killOrder())
+		case !t.killing && !shown && m.rostered:
+			t.issued, t.issuedSeq = true, r.Seq
+			orders = append(orders, model.Order{Verb: model.Start, Task: name, Attempt: t.attempt})
+		}
+	}
+	return orders
+}
+
+func (t *task) killOrder() model.Order {
+	g := t.grace
+	return model.Order{Verb: model.Kill, Task: t.name, Attempt: t.attempt, Grace: &g}
+}
+
+// lapses unbinds what was on machines whose lease has surely run out.
+func (s *State) lapses() {
+	for _, m := range s.machines {
+		if m.lapsed || !m.rostered || s.now < s.leaseEnd(m) {
+			continue
+		}
+		m.lapsed, m.adopted = true, false
+		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.tenure.Term, "tasks", len(m.tasks))
+		for _, t := range m.tasks {
+			s.unbind(t, "lease ran out")
+		}
+		clear(m.strangers)
+		m.view.Local = nil
+		s.dirty = true
+	}
+	s.checkSettled()
+}
+
+// checkSettled notes when every task of older jobs is accounted for: each
+// machine of the roster has shown all it has under this term, or is gone.
+func (s *State) checkSettled() {
+	if s.settled || !s.Leading() {
+		return
+	}
+	for _, m := range s.machines {
+		if m.rostered && !m.adopted && !m.lapsed {
+			return
+		}
+	}
+	s.settled, s.dirty = true, true
+	s.log(slog.LevelInfo, "all machines accounted for", "term", s.tenure.Term)
+}
+
+// recalls clears machines that the cloud is about to take.
+func (s *State) recalls() {
+	for _, m := range s.machines {
+		if m.recallAt == 0 || !m.adopted {
+			continue
+		}
+		for _, t := range m.tasks {
+			margin := time.Duration(t.job.SaveCost*float64(time.Second)) + s.cfg.ReportEvery
+			if !t.killing && s.now >= m.recallAt-margin {
+				s.kill(t, t.job.SaveCost*1.25)
+			}
+		}
+	}
+}
+
+// reachOut sends direct commands: to machines not heard of in this term, and
+// where tasks wait to be started or stopped.
+func (s *State) reachOut() {
+	if !s.Leading() {
+		return
+	}
+	for _, m := range s.machines {
+		if m.direct || m.endpoint == "" || s.now < m.directAt || m.returning {
+			continue
+		}
+		if !m.adopted {
+			if m.rostered && !m.lapsed {
+				s.command(m, nil, nil)
+			}
+			continue
+		}
+		s.flush(m)
+	}
+}
+
+// flush sends m's unsent starts and stops directly.
+func (s *State) flush(m *machine) {
+	var orders []model.Order
+	var starts []*task
+	for _, t := range m.tasks {
+		if len(orders) >= 100 {
+			break
+		}
+		if !t.issued && !t.killing && m.rostered {
+			orders = append(orders, model.Order{Verb: model.Start, Task: t.name, Attempt: t.attempt})
+			starts = append(starts, t)
+		} else if t.killing && t.killAt != 0 && t.state != "" {
+			orders = append(orders, t.killOrder())
+			t.killAt = 0 // once; reports repeat it
+		}
+	}
+	if len(orders) > 0 {
+		s.command(m, orders, starts)
+	}
+}
+
+func (s *State) command(m *machine, orders []model.Order, starts []*task) {
+	epoch, tenure := s.epoch(m), s.tenure
+	m.direct = true
+	for _, t := range starts {
+		t.issued, t.directEpoch = true, epoch
+	}
+	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: tenure.Until()}
+	if c.Orders == nil {
+		c.Orders = []model.Order{}
+	}
+	c.Call = s.call(func(res any) {
+		d := res.(AgentDone)
+		if s.tenure != tenure || s.machines[m.host] != m {
+			return
+		}
+		m.direct = false
+		if d.Report == nil || d.Status != 200 && d.Status != 409 {
+			// Perhaps it runs later. Raise the fence, so that the next report
+			// rules that out, and leave the rest to the reports.
+			if len(orders) > 0 {
+				m.doubt = max(m.doubt, epoch)
+				s.raiseFence(m)
+			}
+			m.directAt = s.now + s.cfg.Lease/8
+			return
+		}
+		for _, t := range starts {
+			if t.directEpoch == epoch {
+				t.directEpoch = 0 // the outcome is known
+				if d.Status == 409 {
+					t.issued = t.issuedSeq != 0
+				}
+			}
+		}
+		r := d.Report
+		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+			s.report(m, r, false)
+		}
+		if d.Status == 409 {
+			m.directAt = s.now + s.cfg.ReportEvery/4
+			if !m.adopted {
+				m.directAt = s.now // the session is known now: ask again
+			}
+		}
+		if s.Leading() && !m.direct && s.now >= m.directAt {
+			s.flush(m)
+		}
+	})
+	s.emit(c)
+}
--- /dev/null
+++ b/internal/core/state.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"mulleinfall/internal/election"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// State is the whole of a controller's knowledge.
+type State struct {
+	cfg Config
+	ecf election.Config
+	now time.Duration
+	out []Effect
+	rnd *rand.Rand
+
+	calls map[uint64]func(any)
+	seq   uint64
+
+	storeRate, writeRate, cloudRate *rate.Limiter
+
+	replica
+	writer
+	users
+	lead
+
+	types    map[string]*model.MachineType
+	typeList []model.MachineType
+	typesAt  time.Duration
+
+	jobs     map[string]*job
+	active   map[string]*job
+	machines map[string]*machine
+}
+
+// New makes the state of a controller that starts at now.
+func New(cfg Config, now time.Duration) *State {
+	// Key and promise each live for lease/3.5: a successor can follow when
+	// both are over, and the workers still have more than half of their
+	// lease to find it.
+	hold := cfg.Lease * 2 / 7
+	ecf := election.Config{Self: cfg.Self, Nodes: len(cfg.Peers) + 1, KeyLife: hold, Promise: hold, Drift: Drift}
+	nodes := float64(ecf.Nodes)
+	s := &State{
+		cfg: cfg, ecf: ecf, now: now,
+		rnd:      rand.New(rand.NewPCG(cfg.Boot, uint64(len(cfg.Self)))),
+		calls:    map[uint64]func(any){},
+		types:    map[string]*model.MachineType{},
+		jobs:     map[string]*job{},
+		active:   map[string]*job{},
+		machines: map[string]*machine{},
+		// Each node keeps to its share by itself, so that no burst at one
+		// gets another's requests refused.
+		storeRate: rate.NewLimiter(rate.Limit(cfg.StoreRPS*0.95/nodes), max(1, int(cfg.StoreRPS*0.95/nodes))),
+		writeRate: rate.NewLimiter(rate.Limit(cfg.StoreWrites*0.95/nodes), max(1, int(cfg.StoreWrites*0.95/nodes))),
+		cloudRate: rate.NewLimiter(rate.Limit(cfg.CloudRPS*0.8), max(1, int(cfg.CloudRPS*0.8))),
+	}
+	s.replica.init()
+	s.lead.voter = election.NewVoter(ecf, now)
+	s.lead.peers = map[string]*peerState{}
+	for _, p := range cfg.Peers {
+		s.lead.peers[p] = &peerState{}
+	}
+	s.lead.round = sched.NewRound(sched.Config{SkipLimit: cfg.SkipLimit})
+	s.users.init()
+	s.lead.nextBid = now
+	return s
+}
+
+// Step takes one event at now and returns what is to be done. The slice is
+// the caller's.
+func (s *State) Step(now time.Duration, ev Event) []Effect {
+	if now > s.now {
+		s.now = now
+	}
+	s.out = nil
+	switch e := ev.(type) {
+	case Tick:
+		s.tick()
+	case Submit:
+		s.submit(origin{req: e.Req}, e.Job, e.Wall)
+	case Poll:
+		s.poll(origin{req: e.Req}, e.ID)
+	case Withdraw:
+		s.withdraw(origin{req: e.Req}, e.ID)
+	case Up:
+		s.up(e.Req)
+	case Beat:
+		s.beat(e)
+	case StoreDone:
+		s.done(e.Call, e)
+	case CloudDone:
+		s.done(e.Call, e)
+	case AgentDone:
+		s.done(e.Call, e)
+	case PeerIn:
+		s.peer(e.From, e.Msg)
+	}
+	s.settleDown()
+	s.pumpSync()
+	s.pumpWriter()
+	if s.dirty && s.Leading() {
+		s.dispatch()
+	}
+	return s.out
+}
+
+// tick does the time-driven work, in the order in which one thing can make
+// the next possible.
+func (s *State) tick() {
+	s.pumpWatch()
+	s.pumpTypes()
+	s.expireAsks()
+	s.campaign()
+	if !s.Leading() {
+		return
+	}
+	s.lapses()
+	s.recalls()
+	s.keepBitmaps()
+	s.reachOut()
+	s.cloudTick()
+	s.shareCounts()
+	if s.waiting() && s.now >= s.nextRound {
+		s.dirty = true
+	}
+}
+
+func (s *State) emit(e Effect) { s.out = append(s.out, e) }
+
+func (s *State) log(level slog.Level, text string, args ...any) {
+	s.emit(Log{level, text, args})
+}
+
+func (s *State) call(done func(any)) uint64 {
+	s.seq++
+	s.calls[s.seq] = done
+	return s.seq
+}
+
+func (s *State) done(call uint64, result any) {
+	f, ok := s.calls[call]
+	if !ok {
+		return
+	}
+	delete(s.calls, call)
+	f(result)
+}
+
+// store sends a call to the state service; done gets its end.
+func (s *State) store(c StoreCall, done func(StoreDone)) {
+	sent := s.now
+	c.Call = s.call(func(r any) {
+		d := r.(StoreDone)
+		if d.Status != 0 && d.Status != 503 && d.Status != 429 {
+			s.storeAnswered(sent)
+		}
+		done(d)
+	})
+	if c.Timeout == 0 {
+		c.Timeout = time.Second
+	}
+	s.emit(c)
+}
+
+func (s *State) at() time.Time { return time.Unix(0, 0).Add(s.now) }
+
+func raw(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("core: marshal of own type: " + err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,313 @@
+// Package core is mulleinfall without input or output: one State, changed by
+// Step(now, event), which answers with the effects to carry out. It owns the
+// job, task and machine tables and ties election, sched and fleet together.
+// Time is the steady clock as the caller hands it in; there is no I/O, clock,
+// goroutine or global random source here, so a trace of events replays.
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// Team is what a team is guaranteed and may use at most (0: no limit).
+type Team struct {
+	Guaranteed, Limit sched.Resources
+}
+
+// Config is everything that core takes from the settings.
+type Config struct {
+	Self  string
+	Peers []string
+	Boot  uint64 // differs between lives of this node; seeds its random source
+	Teams map[string]Team
+
+	ReportEvery time.Duration
+	Lease       time.Duration
+	CancelIn    time.Duration
+
+	StoreRPS    float64
+	StoreWrites float64
+	ValueBytes  int
+	TxnOps      int
+	CloudRPS    float64
+	ListLag     time.Duration
+
+	Tuning
+
+	// Budget starts the time budget of one round of decisions; the returned
+	// function says whether it is used up. Nil means no limit.
+	Budget func() func() bool
+}
+
+// Tuning holds what operators may set themselves.
+type Tuning struct {
+	SkipLimit     int           // design's limit on being passed
+	WriteEvery    time.Duration // bitmap writes of one job
+	IdleReturn    float64       // keep an idle machine for this many boot times
+	GiveUpBoot    float64       // give up a machine after this many boot times
+	SpareServices int           // service tasks for which room is kept free
+	MaxMachines   int           // never rent beyond this
+}
+
+// DefaultTuning is in force where the operator says nothing.
+func DefaultTuning() Tuning {
+	return Tuning{
+		SkipLimit:     25,
+		WriteEvery:    2 * time.Second,
+		IdleReturn:    2,
+		GiveUpBoot:    4,
+		SpareServices: 2,
+		MaxMachines:   1000,
+	}
+}
+
+// Drift bounds how far the steady clocks of two machines drift apart,
+// relative to the time measured (PROTOCOL).
+const Drift = 0.0005
+
+// Event is one thing that happened: one of the types below.
+type Event any
+
+// Effect is one thing to do: one of the types below.
+type Effect any
+
+// Tick lets time-driven work happen.
+type Tick struct{}
+
+// Submit is a user's submission, checked for form by the edge. Wall is the
+// time of day in milliseconds.
+type Submit struct {
+	Req  uint64
+	Job  model.Job
+	Wall int64
+}
+
+// Poll asks for a job's state, Withdraw cancels it.
+type Poll struct {
+	Req uint64
+	ID  string
+}
+
+// Withdraw is a user's cancellation.
+type Withdraw struct {
+	Req uint64
+	ID  string
+}
+
+// Up is a health check.
+type Up struct{ Req uint64 }
+
+// Beat is a worker's report on its own initiative.
+type Beat struct {
+	Req    uint64
+	Report model.Report
+}
+
+// Reply answers a user, a worker or a health check. When Until is set, the
+// edge sends it only before that time: a starved processor must not let an
+// answer out after the entitlement behind it has ended.
+type Reply struct {
+	Req        uint64
+	Status     int
+	Body       any
+	RetryAfter int // seconds; 0: none
+	Until      time.Duration
+}
+
+// JobStatus is the body of answers to users.
+type JobStatus struct {
+	ID      string `json:"id"`
+	Phase   string `json:"phase"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// BeatReply is the body of a 200 to a worker.
+type BeatReply struct {
+	Epoch  uint64        `json:"epoch"`
+	Orders []model.Order `json:"orders"`
+}
+
+// Redirect is the body of a 421 to a worker.
+type Redirect struct {
+	Leader string `json:"steward,omitempty"`
+}
+
+// Problem is the body of refusals.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// StoreOp names a call to the state service.
+type StoreOp string
+
+// Calls to the state service.
+const (
+	StoreList   StoreOp = "list"
+	StoreWatch  StoreOp = "watch"
+	StoreTxn    StoreOp = "txn"
+	StoreGrant  StoreOp = "grant"
+	StoreTouch  StoreOp = "touch"
+	StoreRevoke StoreOp = "revoke"
+)
+
+// Guard demands that a key has a given version (0: does not exist).
+type Guard struct {
+	Key   string
+	Stamp uint64
+}
+
+// Change sets or removes a key.
+type Change struct {
+	Key    string
+	Value  json.RawMessage // nil removes
+	Lease  uint64
+	Remove bool
+}
+
+// StoreCall is a call to the state service.
+type StoreCall struct {
+	Call    uint64
+	Op      StoreOp
+	Prefix  string
+	From    string // list: starting after this key
+	After   uint64 // watch: revision
+	Block   time.Duration
+	Limit   int
+	Guards  []Guard
+	Then    []Change
+	Life    time.Duration // grant
+	Lease   uint64        // touch, revoke
+	Timeout time.Duration
+}
+
+// Item is a key as the state service returns it.
+type Item struct {
+	Key     string
+	Value   json.RawMessage
+	Stamp   uint64
+	Removed bool
+}
+
+// StoreDone ends a StoreCall. Status 0 means that no answer came.
+type StoreDone struct {
+	Call   uint64
+	Status int
+	Err    string
+	Rev    uint64
+	Items  []Item
+	More   bool
+	Lease  uint64
+	Failed []string
+}
+
+// CloudOp names a call to the cloud.
+type CloudOp string
+
+// Calls to the cloud.
+const (
+	CloudTypes  CloudOp = "types"
+	CloudList   CloudOp = "list"
+	CloudRent   CloudOp = "rent"
+	CloudReturn CloudOp = "return"
+)
+
+// CloudCall is a call to the cloud.
+type CloudCall struct {
+	Call    uint64
+	Op      CloudOp
+	Request string // rent: its name, never reused
+	Type    string
+	Zone    string
+	Spot    bool
+	Count   int
+	Hosts   []string
+	After   string
+	Limit   int
+}
+
+// CloudDone ends a CloudCall.
+type CloudDone struct {
+	Call   uint64
+	Status int
+	Err    string
+	Types  []model.MachineType
+	Hosts  []string
+	Listed []model.Listed
+	More   bool
+}
+
+// AgentCall is a direct command to a worker.
+type AgentCall struct {
+	Call     uint64
+	Host     string
+	Endpoint string
+	Epoch    uint64
+	Session  uint64
+	Orders   []model.Order
+	Until    time.Duration // not sent at or after this time
+}
+
+// AgentDone ends an AgentCall.
+type AgentDone struct {
+	Call   uint64
+	Status int
+	Report *model.Report
+}
+
+// PeerIn is a message from another controller, PeerOut one to it.
+type PeerIn struct {
+	From string
+	Msg  PeerMsg
+}
+
+// PeerOut sends a message to another controller, or drops it.
+type PeerOut struct {
+	To  string
+	Msg PeerMsg
+}
+
+// Kinds of messages between controllers.
+const (
+	MsgClaim   = "claim"   // asks for a promise
+	MsgPromise = "promise" // answers it
+	MsgRelease = "release" // gives a term up
+	MsgNudge   = "nudge"   // a change that the sender has made durable
+	MsgCounts  = "counts"  // running tasks per job, for display
+	MsgAsk     = "ask"     // a user's request, from a node without the store
+	MsgAnswer  = "answer"
+)
+
+// PeerMsg is a message between controllers. Sent is the asker's own clock and
+// comes back in the answer.
+type PeerMsg struct {
+	Kind     string         `msgpack:"k"`
+	Term     uint64         `msgpack:"t,omitempty"`
+	Sent     time.Duration  `msgpack:"s,omitempty"`
+	Granted  bool           `msgpack:"g,omitempty"`
+	StoreOK  bool           `msgpack:"o,omitempty"`
+	StoreAge time.Duration  `msgpack:"a,omitempty"`
+	Workers  int            `msgpack:"w,omitempty"`
+	Top      uint64         `msgpack:"p,omitempty"`
+	Key      string         `msgpack:"key,omitempty"`
+	Value    []byte         `msgpack:"val,omitempty"`
+	Stamp    uint64         `msgpack:"st,omitempty"`
+	Counts   map[string]int `msgpack:"c,omitempty"`
+	Ask      uint64         `msgpack:"q,omitempty"`
+	Verb     string         `msgpack:"v,omitempty"`
+	Wall     int64          `msgpack:"wl,omitempty"`
+	Status   int            `msgpack:"code,omitempty"`
+	Retry    int            `msgpack:"ra,omitempty"`
+}
+
+// Log is a line for the log.
+type Log struct {
+	Level slog.Level
+	Text  string
+	Args  []any
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,317 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// origin is who asked: a user's request here, or one that a peer passes on
+// because it doesn't reach the state service.
+type origin struct {
+	req  uint64
+	peer string
+	ask  uint64
+}
+
+// users is what concerns users' requests on this node.
+type users struct {
+	asks   map[uint64]*ask
+	askSeq uint64
+}
+
+// ask is a request passed on to a peer.
+type ask struct {
+	from  origin
+	until time.Duration
+}
+
+func (u *users) init() { u.asks = map[uint64]*ask{} }
+
+// limits on requests under way in one node; beyond them a user is told to
+// come back.
+const (
+	maxWrites  = 2000
+	maxWaiters = 4000
+)
+
+// userWait bounds how long a user's change is tried. Users give up after 5 s;
+// what is refused sooner is retried sooner.
+const userWait = 2 * time.Second
+
+func (s *State) answer(o origin, status int, body any, retry int) {
+	if o.peer != "" {
+		s.emit(PeerOut{o.peer, PeerMsg{Kind: MsgAnswer, Ask: o.ask, Status: status, Value: raw(body), Retry: retry}})
+		return
+	}
+	s.emit(Reply{Req: o.req, Status: status, Body: body, RetryAfter: retry})
+}
+
+// later refuses for now. Where a peer reaches the state service and we
+// don't, it is asked instead.
+func (s *State) later(o origin, why string) {
+	s.answer(o, 503, Problem{why}, 1)
+}
+
+func (s *State) up(req uint64) {
+	// Not ready only while nothing can be served at all: neither from here
+	// nor through a peer. Flapping is punished, so a slow state service is
+	// no reason.
+	if s.loaded {
+		s.emit(Reply{Req: req, Status: 200, Body: map[string]string{"status": "up"}})
+		return
+	}
+	s.emit(Reply{Req: req, Status: 503, Body: Problem{"state not loaded yet"}, RetryAfter: 1})
+}
+
+func (s *State) submit(o origin, spec model.Job, wall int64) {
+	if len(s.types) == 0 {
+		s.later(o, "machine types are not known yet")
+		return
+	}
+	if j := s.jobs[spec.ID]; j != nil {
+		s.poll(o, spec.ID) // the same id again: the job's state
+		return
+	}
+	if why := s.impossible(&spec); why != "" {
+		// Only for a job that isn't known: an accepted one must not be
+		// refused later, whatever the settings say by then.
+		s.ifUnknown(o, spec.ID, func() { s.answer(o, 422, Problem{why}, 0) })
+		return
+	}
+	if len(s.queue) > maxWrites {
+		s.later(o, "too many submissions under way")
+		return
+	}
+	if s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+		return
+	}
+	if !s.loaded || s.storeAge() > 2*s.storeGap() {
+		s.later(o, "the state service does not answer")
+		return
+	}
+	value := raw(jobValue{Spec: &spec, At: wall})
+	if len(value) > s.cfg.ValueBytes {
+		s.answer(o, 400, Problem{"job description too long"}, 0)
+		return
+	}
+	key := dirJobs + spec.ID
+	s.put(&write{
+		change:   Change{Key: key, Value: value},
+		deadline: s.now + userWait,
+		done: func(r outcome) {
+			switch r {
+			case written:
+				s.nudge(key, value)
+				s.answer(o, 201, JobStatus{ID: spec.ID, Phase: model.PhaseQueued}, 0)
+			case conflict:
+				// Known by now, through another node or an earlier try.
+				if s.jobs[spec.ID] != nil {
+					s.answer(o, 200, s.status(s.jobs[spec.ID]), 0)
+					return
+				}
+				s.later(o, "try again")
+			default:
+				s.later(o, "the state service does not answer")
+			}
+		},
+	})
+}
+
+// ifUnknown calls f if no such job was accepted, and answers with the job's
+// state otherwise.
+func (s *State) ifUnknown(o origin, id string, f func()) {
+	if len(s.waiters) > maxWaiters {
+		s.later(o, "too many requests under way")
+		return
+	}
+	s.fresh(func(ok bool) {
+		switch j := s.jobs[id]; {
+		case !ok:
+			s.later(o, "the state service does not answer")
+		case j != nil:
+			s.answer(o, 200, s.status(j), 0)
+		default:
+			f()
+		}
+	})
+}
+
+// impossible says why a job can never run, or nothing.
+func (s *State) impossible(j *model.Job) string {
+	team, ok := s.cfg.Teams[j.Team]
+	if !ok {
+		return "unknown team"
+	}
+	fits := false
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if t.Fits(j) && (j.Zone == "" || contains(t.ZonesAvail, j.Zone)) {
+			fits = true
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Kind == model.Service {
+		n = float64(j.Tasks)
+	}
+	lim := team.Limit
+	if lim.CPUs > 0 && n*j.CPUs > lim.CPUs || lim.GPUs > 0 && n*j.GPUs > lim.GPUs {
+		return "the job needs more than its team's limit"
+	}
+	return ""
+}
+
+func contains(list []string, x string) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) poll(o origin, id string) {
+	if j := s.jobs[id]; j != nil && j.final() {
+		s.answer(o, 200, s.status(j), 0) // final for ever: no need to look
+		return
+	}
+	if s.passOn(o, "poll", id, nil, 0) {
+		return
+	}
+	s.ifUnknown(o, id, func() { s.answer(o, 404, Problem{"no such job"}, 0) })
+}
+
+func (s *State) withdraw(o origin, id string) {
+	if j := s.jobs[id]; j != nil && j.final() {
+		s.answer(o, 200, s.status(j), 0)
+		return
+	}
+	if s.passOn(o, "withdraw", id, nil, 0) {
+		return
+	}
+	if s.jobs[id] == nil {
+		if len(s.waiters) > maxWaiters {
+			s.later(o, "too many requests under way")
+			return
+		}
+		s.fresh(func(ok bool) {
+			switch {
+			case !ok:
+				s.later(o, "the state service does not answer")
+			case s.jobs[id] == nil:
+				s.answer(o, 404, Problem{"no such job"}, 0)
+			default:
+				s.withdraw(o, id)
+			}
+		})
+		return
+	}
+	if !s.loaded || s.storeAge() > 2*s.storeGap() || len(s.queue) > maxWrites {
+		s.later(o, "the state service does not answer")
+		return
+	}
+	key := dirJobs + id
+	value := raw(jobValue{Phase: model.PhaseAborted})
+	s.put(&write{
+		change:   Change{Key: key, Value: value},
+		deadline: s.now + userWait,
+		done: func(r outcome) {
+			j := s.jobs[id]
+			switch {
+			case r == written:
+				s.nudge(key, value)
+				s.answer(o, 200, s.status(j), 0)
+			case r == conflict && j != nil && j.final():
+				s.answer(o, 200, s.status(j), 0)
+			default:
+				s.later(o, "the state service does not answer")
+			}
+		},
+	})
+}
+
+// status is what a user is told of a job.
+func (s *State) status(j *job) JobStatus {
+	st := JobStatus{ID: j.ID, Phase: j.phase, Done: j.doneCount}
+	if j.phase == model.PhaseDone {
+		st.Done = j.Tasks
+	}
+	if j.phase == "" {
+		st.Running = j.running
+		if s.Leading() {
+			st.Running = j.liveTasks()
+		}
+		st.Phase = model.PhaseQueued
+		if st.Running > 0 {
+			st.Phase = model.PhaseRunning
+		}
+	}
+	return st
+}
+
+// nudge tells the other nodes of a change that is durable, ahead of the
+// watch. A late copy is older than what they know and changes nothing.
+func (s *State) nudge(key string, value []byte) {
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgNudge, Key: key, Value: value, Stamp: s.stamps[key]}})
+	}
+}
+
+// passOn hands a user's request to a peer that reaches the state service, if
+// we don't. One hop only.
+func (s *State) passOn(o origin, verb, id string, value []byte, wall int64) bool {
+	if o.peer != "" || s.loaded && s.storeAge() < s.storeGap() {
+		return false
+	}
+	for _, name := range s.cfg.Peers {
+		p := s.peers[name]
+		if !p.storeOK || s.now-p.heard > s.ecf.Promise {
+			continue
+		}
+		s.users.askSeq++
+		s.asks[s.users.askSeq] = &ask{o, s.now + userWait}
+		s.emit(PeerOut{name, PeerMsg{Kind: MsgAsk, Ask: s.users.askSeq, Verb: verb, Key: id, Value: value, Wall: wall}})
+		return true
+	}
+	return false
+}
+
+func (s *State) expireAsks() {
+	for id, a := range s.asks {
+		if s.now >= a.until {
+			delete(s.asks, id)
+			s.later(a.from, "no answer from a peer")
+		}
+	}
+}
+
+// askedBy serves a request that a peer passes on.
+func (s *State) askedBy(from string, m PeerMsg) {
+	o := origin{peer: from, ask: m.Ask}
+	switch m.Verb {
+	case "submit":
+		var spec model.Job
+		if err := json.Unmarshal(m.Value, &spec); err != nil {
+			s.later(o, "garbled")
+			return
+		}
+		s.submit(o, spec, m.Wall)
+	case "poll":
+		s.poll(o, m.Key)
+	case "withdraw":
+		s.withdraw(o, m.Key)
+	}
+}
+
+func (s *State) answered(m PeerMsg) {
+	a := s.asks[m.Ask]
+	if a == nil {
+		return
+	}
+	delete(s.asks, m.Ask)
+	s.answer(a.from, m.Status, json.RawMessage(m.Value), m.Retry)
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,192 @@
+// Package election decides who may act for the controllers, until when, and
+// with which term. It is pure: callers hand in the steady clock.
+//
+// A leader of a term may act while (A) its leased key in the state service is
+// surely alive, or (B) a majority of all controllers has promised to support
+// no other. Both are counted from the sending of the request that won them
+// and shortened by clock drift. A candidate needs a majority of promises and
+// then the key, created under a guard on the term. A supporter of the former
+// leader gives no promise before its own has run out, so the two majorities
+// meet in a controller for which the former leader's promise is over; and the
+// key can be created only once the former leader's lease has ended. Entitlement that has lapsed once is
+// gone for good: the term must be won anew.
+package election
+
+import "time"
+
+// Config holds the times of the election, all derived from the settings.
+type Config struct {
+	Self    string
+	Nodes   int           // all controllers, this one included
+	KeyLife time.Duration // life of the leader's lease in the state service
+	Promise time.Duration // how long a supporter binds itself
+	Drift   float64       // relative drift between two steady clocks
+}
+
+// Voter is the supporting side: what this controller has promised.
+type Voter struct {
+	cfg    Config
+	wakeAt time.Duration // promises of an earlier life may bind until here
+	node   string
+	term   uint64
+	until  time.Duration
+	top    uint64 // highest term ever supported
+}
+
+// NewVoter starts a voter at now. Its first promise waits for the longest one
+// that the process before it may have given and forgotten.
+func NewVoter(cfg Config, now time.Duration) *Voter {
+	return &Voter{cfg: cfg, wakeAt: now + cfg.stretch(cfg.Promise)}
+}
+
+func (c Config) stretch(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*2*c.Drift) + time.Millisecond
+}
+
+// Grant promises node support for term, if no other promise stands against it.
+func (v *Voter) Grant(now time.Duration, node string, term uint64) bool {
+	if now < v.wakeAt || term < v.top {
+		return false
+	}
+	if node != v.node && now < v.until {
+		return false
+	}
+	// One term has one candidate per voter: a second one must ask for a
+	// higher term, or two could each count this voter.
+	if term == v.top && node != v.node {
+		return false
+	}
+	v.node, v.term, v.top = node, term, term
+	v.until = now + v.cfg.stretch(v.cfg.Promise)
+	return true
+}
+
+// Release ends the promise to node early: the node has said that it no longer
+// acts in any term up to term.
+func (v *Voter) Release(node string, term uint64) {
+	if v.node == node && v.term <= term {
+		v.until = 0
+	}
+}
+
+// Bound names the node that this voter supports now, if any.
+func (v *Voter) Bound(now time.Duration) (string, bool) {
+	return v.node, now < v.until
+}
+
+// Awake says whether this voter may give promises at all.
+func (v *Voter) Awake(now time.Duration) bool { return now >= v.wakeAt }
+
+// Top is the highest term that this voter has supported.
+func (v *Voter) Top() uint64 { return v.top }
+
+// Tenure is the acting side: a candidacy that may become leadership.
+type Tenure struct {
+	cfg     Config
+	Term    uint64
+	keySent time.Duration // sending of the request that last renewed the key
+	hasKey  bool
+	support map[string]time.Duration // by supporter: sending of the request
+	elected bool
+	ended   bool
+}
+
+// NewTenure starts a candidacy for term.
+func NewTenure(cfg Config, term uint64) *Tenure {
+	return &Tenure{cfg: cfg, Term: term, support: map[string]time.Duration{}}
+}
+
+// Promised notes a supporter's promise; sent is when it was asked for.
+func (t *Tenure) Promised(now time.Duration, node string, sent time.Duration) {
+	if t.lapsed(now) {
+		return
+	}
+	if old, ok := t.support[node]; !ok || sent > old {
+		t.support[node] = sent
+	}
+}
+
+// Elected notes that the key was created under this term, by a request sent
+// at sent. It fails when the promises have run out in the meantime: without
+// them nothing shows that the former leader has stopped.
+func (t *Tenure) Elected(now, sent time.Duration) bool {
+	if t.ended || now >= t.promisedUntil() {
+		t.ended = true
+		return false
+	}
+	t.elected, t.hasKey, t.keySent = true, true, sent
+	return true
+}
+
+// Renewed notes that the leased key was renewed by a request sent at sent.
+func (t *Tenure) Renewed(now, sent time.Duration) {
+	if t.lapsed(now) {
+		return
+	}
+	if !t.hasKey || sent > t.keySent {
+		t.hasKey, t.keySent = true, sent
+	}
+}
+
+// KeyLost notes that the state service no longer holds our key.
+func (t *Tenure) KeyLost() { t.hasKey = false }
+
+func (t *Tenure) shrink(d time.Duration) time.Duration {
+	return d - time.Duration(float64(d)*2*t.cfg.Drift) - time.Millisecond
+}
+
+// KeyUntil is when the leased key may end.
+func (t *Tenure) KeyUntil() time.Duration {
+	if !t.hasKey {
+		return 0
+	}
+	return t.keySent + t.shrink(t.cfg.KeyLife)
+}
+
+// promisedUntil is when the last majority of promises may end.
+func (t *Tenure) promisedUntil() time.Duration {
+	need := t.cfg.Nodes/2 + 1
+	if len(t.support) < need {
+		return 0
+	}
+	// The need-th youngest promise bounds the majority.
+	sent := make([]time.Duration, 0, len(t.support))
+	for _, s := range t.support {
+		at := len(sent)
+		sent = append(sent, s)
+		for at > 0 && sent[at-1] < s {
+			sent[at] = sent[at-1]
+			at--
+		}
+		sent[at] = s
+	}
+	return sent[need-1] + t.shrink(t.cfg.Promise)
+}
+
+// Supported says whether a majority of promises stands at now.
+func (t *Tenure) Supported(now time.Duration) bool { return now < t.promisedUntil() }
+
+// Until is the time up to which this tenure may act as far as is known.
+func (t *Tenure) Until() time.Duration {
+	if !t.elected || t.ended {
+		return 0
+	}
+	return max(t.KeyUntil(), t.promisedUntil())
+}
+
+// lapsed ends an elected tenure whose entitlement has run out.
+func (t *Tenure) lapsed(now time.Duration) bool {
+	if t.elected && now >= t.Until() {
+		t.ended = true
+	}
+	return t.ended
+}
+
+// Entitled says whether this tenure may act at now. Once it may not, it never
+// may again.
+func (t *Tenure) Entitled(now time.Duration) bool {
+	return t.elected && !t.lapsed(now)
+}
+
+// End gives the tenure up.
+func (t *Tenure) End() { t.ended = true }
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,180 @@
+// Package model holds the nouns that the parts of mulleinfall share: jobs,
+// machine types, worker reports and orders. Wire names stand only in the
+// struct tags; code uses the field's terms.
+package model
+
+import "strconv"
+
+// Job is a user's description of a job, as submitted.
+type Job struct {
+	ID         string   `json:"id"`
+	Class      string   `json:"lane"`
+	Team       string   `json:"owner"`
+	Kind       string   `json:"shape"`
+	Priority   string   `json:"rank"`
+	Tasks      int      `json:"pieces"`
+	CPUs       float64  `json:"cpus"`
+	GPUs       float64  `json:"cards"`
+	MemoryGB   float64  `json:"memoryGb"`
+	Image      string   `json:"build"`
+	ImageGB    float64  `json:"pullGb"`
+	Types      []string `json:"flavors,omitempty"`
+	Zone       string   `json:"site,omitempty"`
+	OneZone    bool     `json:"samePlace,omitempty"`
+	Spread     bool     `json:"scatter,omitempty"`
+	Spot       bool     `json:"loaners,omitempty"`
+	Estimate   float64  `json:"guessS"`
+	Checkpoint float64  `json:"snapshotEveryS"`
+	SaveCost   float64  `json:"snapshotCostS"`
+	Due        *float64 `json:"dueS,omitempty"`
+}
+
+// Values of Job.Kind and Job.Priority.
+const (
+	Batch   = "batch"
+	Service = "service"
+
+	Prod   = "prod"
+	High   = "high"
+	Normal = "normal"
+	Low    = "low"
+)
+
+// Rank orders priorities: the smaller, the more urgent.
+func Rank(priority string) int {
+	switch priority {
+	case Prod:
+		return 0
+	case High:
+		return 1
+	case Normal:
+		return 2
+	}
+	return 3
+}
+
+// Phases of a job as users see them.
+const (
+	PhaseQueued  = "queued"
+	PhaseRunning = "running"
+	PhaseDone    = "done"
+	PhaseAborted = "aborted"
+)
+
+// MachineType is one kind of machine that the cloud rents.
+type MachineType struct {
+	Name       string   `json:"label"`
+	CPUs       float64  `json:"cpus"`
+	GPUs       float64  `json:"cards"`
+	MemoryGB   float64  `json:"memoryGb"`
+	CacheGB    float64  `json:"localGb"`
+	FetchRate  float64  `json:"fetchGbPerS"`
+	Price      float64  `json:"price"`
+	SpotPrice  float64  `json:"marketPrice"`
+	BootS      float64  `json:"bootS"`
+	ZonesAvail []string `json:"sites"`
+}
+
+// Fits says whether one task of j fits an empty machine of this type.
+func (t *MachineType) Fits(j *Job) bool {
+	return j.CPUs <= t.CPUs && j.GPUs <= t.GPUs && j.MemoryGB <= t.MemoryGB && j.AllowsType(t.Name)
+}
+
+// AllowsType says whether the job's list of types admits name.
+func (j *Job) AllowsType(name string) bool {
+	if len(j.Types) == 0 {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ZoneCap is how many tasks of the job may be in one zone at a time.
+func (j *Job) ZoneCap() int {
+	if j.Spread {
+		return (j.Tasks + 1) / 2
+	}
+	return j.Tasks
+}
+
+// TaskName is the wire name of a task.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// SplitTask takes a task name apart.
+func SplitTask(name string) (job string, index int, ok bool) {
+	for i := len(name) - 1; i > 0; i-- {
+		if name[i] == '/' {
+			n, err := strconv.Atoi(name[i+1:])
+			return name[:i], n, err == nil && n >= 0
+		}
+	}
+	return "", 0, false
+}
+
+// Task states and exit causes in worker reports.
+const (
+	TaskFetching = "pulling"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "exited"
+
+	CauseDone    = "done"
+	CauseStopped = "halted"
+	CauseError   = "error"
+	CauseNoRoom  = "full"
+	CauseBusy    = "in_use"
+	CauseUnknown = "no_such"
+)
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"phase"`
+	Cause   string `json:"cause,omitempty"`
+	Saved   bool   `json:"saved,omitempty"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Host     string       `json:"host"`
+	Endpoint string       `json:"endpoint"`
+	Type     string       `json:"flavor"`
+	Zone     string       `json:"site"`
+	Spot     bool         `json:"loaners"`
+	Session  uint64       `json:"tenure"`
+	Seq      uint64       `json:"tick"`
+	Epoch    uint64       `json:"epoch"`
+	Recall   *float64     `json:"recallS"`
+	Tasks    []TaskReport `json:"pieces"`
+}
+
+// Order verbs.
+const (
+	Start  = "start"
+	Kill   = "kill"
+	Forget = "forget"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb    string   `json:"verb"`
+	Task    string   `json:"piece"`
+	Attempt uint64   `json:"try"`
+	Grace   *float64 `json:"windDownS,omitempty"`
+}
+
+// Listed is a machine as the cloud lists it.
+type Listed struct {
+	Host     string  `json:"id"`
+	Endpoint string  `json:"endpoint"`
+	Type     string  `json:"flavor"`
+	Zone     string  `json:"site"`
+	Spot     bool    `json:"loaners"`
+	State    string  `json:"phase"`
+	AgeS     float64 `json:"ageS"`
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,235 @@
+// Package node runs the core: one goroutine owns the state, feeds events in
+// and carries effects out through the edges.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinfall/internal/agent"
+	"mulleinfall/internal/api"
+	"mulleinfall/internal/cloud"
+	"mulleinfall/internal/config"
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/peer"
+	"mulleinfall/internal/statestore"
+)
+
+// maxEvents bounds what waits for the owning goroutine; beyond it users and
+// workers are told to come back.
+const maxEvents = 2048
+
+// Node is one controller.
+type Node struct {
+	set   *config.Settings
+	start time.Time
+	state *core.State
+
+	events chan core.Event
+	nextID atomic.Uint64
+	mu     sync.Mutex
+	asks   map[uint64]chan core.Reply
+
+	store *statestore.Client
+	cloud *cloud.Client
+	agent *agent.Client
+	links map[string]*peer.Link
+}
+
+// New makes a controller from checked settings; Run serves it.
+func New(set *config.Settings, boot uint64) *Node {
+	n := &Node{set: set, start: time.Now(), events: make(chan core.Event, maxEvents),
+		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{}}
+	cfg := set.Core(boot)
+	cfg.Budget = func() func() bool {
+		end := n.Now() + set.Budget
+		return func() bool { return n.Now() >= end }
+	}
+	n.state = core.New(cfg, n.Now())
+	report := cfg.ReportEvery
+	client := func(perHost int) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: report}).DialContext,
+				MaxIdleConnsPerHost: perHost,
+				MaxIdleConns:        set.Params.Limits.Files / 8,
+				IdleConnTimeout:     time.Minute,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	n.store = &statestore.Client{Addr: set.Services.State, HTTP: client(8)}
+	n.cloud = &cloud.Client{Addr: set.Services.Cloud, HTTP: client(4), Timeout: 5 * time.Second}
+	// A direct command that has no answer within a report's time is left to
+	// the reports.
+	n.agent = &agent.Client{HTTP: client(1), Timeout: report, Now: n.Now}
+	for _, p := range set.Peers {
+		n.links[p.Name] = peer.NewLink(set.Name, p.Addr, cfg.Lease/8)
+	}
+	return n
+}
+
+// Now is the steady clock, counted from the start of the process.
+func (n *Node) Now() time.Duration { return time.Since(n.start) }
+
+// Run serves until ctx ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pub, err := net.Listen("tcp", n.set.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for users and workers: %w", err)
+	}
+	defer pub.Close()
+	back, err := net.Listen("tcp", n.set.PeerAddr)
+	if err != nil {
+		return fmt.Errorf("listen for controllers: %w", err)
+	}
+	defer back.Close()
+	slog.Info("serving", "node", n.set.Name, "api", n.set.Listen, "peers", n.set.PeerAddr)
+
+	srv := &http.Server{
+		Handler:           api.Handler(n),
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       20 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- srv.Serve(limit(pub, n.set.Params.Limits.Files*3/4)) }()
+	go func() {
+		errs <- peer.Serve(ctx, back, func(from string, m core.PeerMsg) { n.post(ctx, core.PeerIn{From: from, Msg: m}) })
+	}()
+	for _, l := range n.links {
+		go l.Run(ctx)
+	}
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	n.step(ctx, core.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			srv.Close()
+			return nil
+		case err := <-errs:
+			if err != nil && !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve: %w", err)
+			}
+		case ev := <-n.events:
+			n.step(ctx, ev)
+		case <-tick.C:
+			n.step(ctx, core.Tick{})
+		}
+	}
+}
+
+// step feeds one event to the state and carries the effects out.
+func (n *Node) step(ctx context.Context, ev core.Event) {
+	for _, e := range n.state.Step(n.Now(), ev) {
+		switch e := e.(type) {
+		case core.Reply:
+			n.mu.Lock()
+			ch := n.asks[e.Req]
+			delete(n.asks, e.Req)
+			n.mu.Unlock()
+			if ch != nil {
+				ch <- e
+			}
+		case core.StoreCall:
+			go func() { n.post(ctx, n.store.Do(ctx, e)) }()
+		case core.CloudCall:
+			go func() { n.post(ctx, n.cloud.Do(ctx, e)) }()
+		case core.AgentCall:
+			go func() { n.post(ctx, n.agent.Do(ctx, e)) }()
+		case core.PeerOut:
+			if l := n.links[e.To]; l != nil {
+				l.Send(e.Msg)
+			}
+		case core.Log:
+			slog.Log(ctx, e.Level, e.Text, e.Args...)
+		}
+	}
+}
+
+// post hands an event to the owning goroutine.
+func (n *Node) post(ctx context.Context, ev core.Event) {
+	select {
+	case n.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// Ask implements api.Asker.
+func (n *Node) Ask(make_ func(uint64) core.Event, wait time.Duration) (core.Reply, bool) {
+	id := n.nextID.Add(1)
+	ch := make(chan core.Reply, 1)
+	n.mu.Lock()
+	n.asks[id] = ch
+	n.mu.Unlock()
+	forget := func() {
+		n.mu.Lock()
+		delete(n.asks, id)
+		n.mu.Unlock()
+	}
+	select {
+	case n.events <- make_(id):
+	default:
+		forget()
+		return core.Reply{}, false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		return r, true
+	case <-t.C:
+		forget()
+		return core.Reply{}, false
+	}
+}
+
+// limit bounds the open connections, so that sockets are left for the state
+// service, the cloud and the peers.
+func limit(ln net.Listener, most int) net.Listener {
+	return &limited{Listener: ln, slots: make(chan struct{}, most)}
+}
+
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+type limitedConn struct {
+	net.Conn
+	once  sync.Once
+	slots chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &limitedConn{Conn: c, slots: l.slots}, nil
+		default:
+			c.Close()
+		}
+	}
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.slots })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,169 @@
+// Package peer carries messages between controllers: msgpack over one TCP
+// connection in each direction. A message may be lost or late; the core
+// counts with both.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mulleinfall/internal/core"
+)
+
+// Limits of the channel: a frame, and what waits for a peer that is slow or
+// out of reach. Beyond that the oldest would be stale anyway.
+const (
+	maxFrame = 1 << 20
+	maxQueue = 256
+)
+
+// envelope is a frame: who sends it, and the message.
+type envelope struct {
+	From string       `msgpack:"f"`
+	Msg  core.PeerMsg `msgpack:"m"`
+}
+
+// Link sends to one peer.
+type Link struct {
+	self, addr string
+	timeout    time.Duration
+	queue      chan core.PeerMsg
+}
+
+// NewLink makes a link from self to the peer at addr; Run serves it.
+func NewLink(self, addr string, timeout time.Duration) *Link {
+	return &Link{self: self, addr: addr, timeout: timeout, queue: make(chan core.PeerMsg, maxQueue)}
+}
+
+// Send queues a message, or drops it when the peer can't keep up.
+func (l *Link) Send(m core.PeerMsg) {
+	select {
+	case l.queue <- m:
+	default:
+	}
+}
+
+// Run keeps a connection to the peer while there is something to say.
+func (l *Link) Run(ctx context.Context) {
+	var conn net.Conn
+	drop := func() {
+		if conn != nil {
+			conn.Close()
+			conn = nil
+		}
+	}
+	defer drop()
+	for {
+		var m core.PeerMsg
+		select {
+		case <-ctx.Done():
+			return
+		case m = <-l.queue:
+		}
+		b, err := encode(envelope{l.self, m})
+		if err != nil {
+			slog.Error("peer message not encoded", "error", err)
+			continue
+		}
+		if conn == nil {
+			d := net.Dialer{Timeout: l.timeout}
+			if conn, err = d.DialContext(ctx, "tcp", l.addr); err != nil {
+				conn = nil
+				slog.Debug("peer not reached", "peer", l.addr, "error", err)
+				l.drain()
+				continue
+			}
+		}
+		if err := conn.SetWriteDeadline(time.Now().Add(l.timeout)); err == nil {
+			_, err = conn.Write(b)
+			if err == nil {
+				continue
+			}
+		}
+		drop()
+	}
+}
+
+// drain forgets what has piled up for a peer that can't be reached: by the
+// time it can be, it would be stale.
+func (l *Link) drain() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
+
+func encode(e envelope) ([]byte, error) {
+	body, err := msgpack.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxFrame {
+		return nil, fmt.Errorf("frame of %d bytes is too long", len(body))
+	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...), nil
+}
+
+// Read takes frames from a connection until it ends.
+func Read(r io.Reader, deliver func(from string, m core.PeerMsg)) error {
+	br := bufio.NewReader(r)
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(br, head[:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n > maxFrame {
+			return fmt.Errorf("frame of %d bytes is too long", n)
+		}
+		body := make([]byte, n)
+		if _, err := io.ReadFull(br, body); err != nil {
+			return err
+		}
+		var e envelope
+		if err := msgpack.Unmarshal(body, &e); err != nil {
+			return fmt.Errorf("decode: %w", err)
+		}
+		deliver(e.From, e.Msg)
+	}
+}
+
+// Serve accepts the peers' connections.
+func Serve(ctx context.Context, ln net.Listener, deliver func(from string, m core.PeerMsg)) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			slog.Warn("peer connection not accepted", "error", err)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(100 * time.Millisecond):
+			}
+			continue
+		}
+		go func() {
+			defer conn.Close()
+			if err := Read(conn, deliver); err != nil {
+				slog.Debug("peer connection ended", "error", err)
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/sched/cache.go
@@ -0,0 +1,44 @@
+package sched
+
+// Cache models which images a machine holds: the most recently used ones up
+// to its size, as the workers keep them.
+type Cache struct {
+	Size   float64
+	images []image // least recently used first
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// Has says whether the image should be on the machine.
+func (c *Cache) Has(name string) bool { return c.find(name) >= 0 }
+
+func (c *Cache) find(name string) int {
+	for i := range c.images {
+		if c.images[i].name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Use notes that a task used the image, fetched if need be.
+func (c *Cache) Use(name string, gb float64) {
+	if i := c.find(name); i >= 0 {
+		c.images = append(c.images[:i], c.images[i+1:]...)
+	}
+	c.images = append(c.images, image{name, gb})
+	used := 0.0
+	for _, im := range c.images {
+		used += im.gb
+	}
+	for used > c.Size && len(c.images) > 1 {
+		used -= c.images[0].gb
+		c.images = c.images[1:]
+	}
+}
+
+// Len is the number of images held.
+func (c *Cache) Len() int { return len(c.images) }
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,388 @@
+// Package sched is the dispatch rule of the design
+// (docs/design.md): one global queue by arrival, a local queue per machine,
+// hits first, the cheaper of waiting at a holder and fetching elsewhere, and
+// out-of-order hits up to a skip limit. It is pure; callers hand in the time.
+package sched
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Resources is what a task takes or a machine has left.
+type Resources struct{ CPUs, GPUs, MemoryGB float64 }
+
+// slack absorbs the rounding of decimal amounts added and taken many times.
+const slack = 1e-6
+
+// Fits says whether r holds need.
+func (r Resources) Fits(need Resources) bool {
+	return need.CPUs <= r.CPUs+slack && need.GPUs <= r.GPUs+slack && need.MemoryGB <= r.MemoryGB+slack
+}
+
+// Add returns r with o added.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemoryGB + o.MemoryGB}
+}
+
+// Sub returns r with o taken away.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemoryGB - o.MemoryGB}
+}
+
+// Job is a job with waiting tasks, as the dispatcher sees it. All tasks of a
+// job are alike, so they share one entry in the global queue.
+type Job struct {
+	ID       string
+	Rank     int    // 0 is the most urgent
+	Arrival  uint64 // order of acceptance
+	Need     Resources
+	Image    string
+	ImageGB  float64
+	Estimate time.Duration // run time; 0 for services
+	Endless  bool          // a service: runs until cancelled
+	Waiting  int           // tasks in the global queue
+	Skips    int           // times that a later task went first
+}
+
+// Running is a task on a machine.
+type Running struct {
+	Need Resources
+	End  time.Duration // estimated; Never for services
+}
+
+// Never is the end of what has no end to wait for.
+const Never = time.Duration(math.MaxInt64)
+
+// Machine is a machine that may take tasks.
+type Machine struct {
+	ID       string
+	Free     Resources
+	Capacity Resources
+	Rate     float64 // open fetch rate, GB a second
+	Running  []Running
+	Images   *Cache
+	Fetching []Fetch // fetches under way
+	Local    []Queued
+	Price    float64 // orders equal choices: the cheaper first
+	held     bool    // kept free in this round for a task at its skip limit
+}
+
+// Fetch is an image on its way to a machine.
+type Fetch struct {
+	Image string
+	GB    float64
+	Since time.Duration
+}
+
+// Queued is a task in a machine's local queue.
+type Queued struct {
+	Job *Job
+	// Until is when the work that it waits for should be over; later it
+	// returns to the global queue, since the estimate was wrong.
+	Until time.Duration
+}
+
+// Config holds the operator's settings of the rule.
+type Config struct {
+	SkipLimit int
+}
+
+// Env is what the rule asks of its surroundings.
+type Env interface {
+	// Allowed says whether a task of j may be on m now: type, zone, kind,
+	// spread and the job's other tasks. It does not look at room.
+	Allowed(j *Job, m *Machine) bool
+	// UnderLimit says whether j's team may use more now.
+	UnderLimit(j *Job) bool
+	// Place binds one waiting task of j to m; false if it can't after all.
+	Place(j *Job, m *Machine, path Path) bool
+	// Spent says that the round's time budget is used up.
+	Spent() bool
+}
+
+// Path is the way by which a task came to its machine.
+type Path string
+
+// The paths of the rule, counted for the operator.
+const (
+	Hit      Path = "hit"       // head of the queue to a roomy holder
+	SkipHit  Path = "skip_hit"  // hit ahead of earlier tasks
+	Fetched  Path = "fetch"     // cheaper to fetch on a free machine
+	FromWait Path = "local"     // from a local queue
+	AtLimit  Path = "limit"     // passed SkipLimit times, went at once
+	Passing  Path = "pass_miss" // exception: the tasks ahead fit nowhere now
+)
+
+// fetchLeft is the work in GB that m's open fetches still have to do.
+func (m *Machine) fetchLeft(now time.Duration) float64 {
+	left := 0.0
+	for _, f := range m.Fetching {
+		left += f.GB
+	}
+	if len(m.Fetching) > 0 {
+		left -= (now - m.Fetching[0].Since).Seconds() * m.Rate
+	}
+	return max(left, 0)
+}
+
+func (m *Machine) fetches(image string) bool {
+	for _, f := range m.Fetching {
+		if f.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchTime is the design's estimate for a task of j on m from now on: image
+// size over the open fetch rate, plus the fetches already under way.
+func (m *Machine) fetchTime(now time.Duration, j *Job) time.Duration {
+	if m.Images.Has(j.Image) {
+		return 0
+	}
+	gb := m.fetchLeft(now)
+	if !m.fetches(j.Image) {
+		gb += j.ImageGB
+	}
+	return time.Duration(gb / m.Rate * float64(time.Second))
+}
+
+// holds says whether j's image is on m or on its way there.
+func (m *Machine) holds(j *Job) bool { return m.Images.Has(j.Image) || m.fetches(j.Image) }
+
+// wait estimates how long until m has room for one more task of j behind its
+// local queue.
+func (m *Machine) wait(now time.Duration, j *Job) time.Duration {
+	need := j.Need
+	for _, q := range m.Local {
+		need = need.Add(q.Job.Need)
+	}
+	if m.Free.Fits(need) {
+		return 0
+	}
+	ends := append([]Running(nil), m.Running...)
+	sort.Slice(ends, func(a, b int) bool { return ends[a].End < ends[b].End })
+	free := m.Free
+	last := now
+	queue := append(append([]Queued(nil), m.Local...), Queued{Job: j})
+	for _, r := range ends {
+		if r.End == Never {
+			break
+		}
+		last = max(last, r.End)
+		free = free.Add(r.Need)
+		for len(queue) > 0 && free.Fits(queue[0].Job.Need) {
+			free = free.Sub(queue[0].Job.Need)
+			queue = queue[1:]
+		}
+		if len(queue) == 0 {
+			return last - now
+		}
+	}
+	return Never
+}
+
+// Round is the state of one pass over the queue. A round that ran out of
+// budget goes on at the job where it stopped.
+type Round struct {
+	cfg    Config
+	resume bool
+	last   string
+}
+
+// NewRound starts a dispatcher.
+func NewRound(cfg Config) *Round { return &Round{cfg: cfg} }
+
+// Run makes one round of decisions. Jobs must be in queue order (rank, then
+// arrival). It returns true if the round came to its end.
+func (r *Round) Run(now time.Duration, jobs []*Job, machines []*Machine, env Env) bool {
+	for _, m := range machines {
+		m.held = false
+		r.serveLocal(now, m, env)
+	}
+	start := 0
+	if r.resume {
+		for i, j := range jobs {
+			if j.ID == r.last {
+				start = i
+				break
+			}
+		}
+	}
+	r.resume = false
+	for i := start; i < len(jobs); i++ {
+		j := jobs[i]
+		for j.Waiting > 0 {
+			if env.Spent() {
+				r.resume, r.last = true, j.ID
+				return false
+			}
+			if !env.UnderLimit(j) {
+				break // passed without counting a skip
+			}
+			if !r.one(now, jobs[:i], j, machines, env) {
+				break
+			}
+		}
+	}
+	return true
+}
+
+// serveLocal gives m's room to its local queue first, and returns what has
+// waited longer than estimated to the global queue.
+func (r *Round) serveLocal(now time.Duration, m *Machine, env Env) {
+	for len(m.Local) > 0 {
+		q := m.Local[0]
+		if m.Free.Fits(q.Job.Need) && env.UnderLimit(q.Job) && env.Allowed(q.Job, m) {
+			m.Local = m.Local[1:]
+			q.Job.Waiting++
+			if env.Place(q.Job, m, FromWait) {
+				continue
+			}
+			return
+		}
+		break
+	}
+	kept := m.Local[:0]
+	for _, q := range m.Local {
+		if now >= q.Until {
+			q.Job.Waiting++
+			continue
+		}
+		kept = append(kept, q)
+	}
+	m.Local = kept
+}
+
+// one sends one task of j on its way. ahead are the jobs before it.
+func (r *Round) one(now time.Duration, ahead []*Job, j *Job, machines []*Machine, env Env) bool {
+	var hit, free, busy *Machine
+	var freeCost, busyCost = Never, Never
+	for _, m := range machines {
+		if m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
+			continue
+		}
+		if m.Free.Fits(j.Need) {
+			if m.Images.Has(j.Image) {
+				if hit == nil || better(m, hit, j) {
+					hit = m
+				}
+				continue
+			}
+			cost := m.fetchTime(now, j)
+			if free == nil || cost < freeCost || cost == freeCost && better(m, free, j) {
+				free, freeCost = m, cost
+			}
+			continue
+		}
+		if m.holds(j) {
+			if w := m.wait(now, j); w < Never {
+				if cost := max(w, m.fetchTime(now, j)); cost < busyCost {
+					busy, busyCost = m, cost
+				}
+			}
+		}
+	}
+	passed := earlier(ahead, j, env)
+	if hit != nil {
+		path := Hit
+		if len(passed) > 0 {
+			path = SkipHit
+		}
+		if !env.Place(j, hit, path) {
+			return false
+		}
+		skip(passed)
+		return true
+	}
+	atLimit := j.Skips >= r.cfg.SkipLimit
+	if free != nil && (atLimit || freeCost <= busyCost) {
+		// Only a hit may overtake on the ordinary path. The exception: the
+		// tasks ahead found no machine in this very round, so holding this
+		// one back would leave the machine idle and help nobody.
+		path := Fetched
+		if atLimit {
+			path = AtLimit
+		} else if len(passed) > 0 {
+			path = Passing
+		}
+		if !env.Place(j, free, path) {
+			return false
+		}
+		skip(passed)
+		return true
+	}
+	if busy != nil && !atLimit {
+		busy.Local = append(busy.Local, Queued{Job: j, Until: now + max(busyCost, time.Second)})
+		j.Waiting--
+		return true
+	}
+	if atLimit {
+		r.hold(now, j, machines, env)
+	}
+	return false
+}
+
+// hold keeps the machine that should have room soonest free for a task at its
+// skip limit, which would otherwise starve behind smaller ones.
+func (r *Round) hold(now time.Duration, j *Job, machines []*Machine, env Env) {
+	var best *Machine
+	soonest := Never
+	for _, m := range machines {
+		if m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
+			continue
+		}
+		if w := m.wait(now, j); w < soonest {
+			best, soonest = m, w
+		}
+	}
+	if best != nil {
+		best.held = true
+	}
+}
+
+// earlier lists the jobs of the same rank ahead of j that still wait and are
+// not held back by their team's limit.
+func earlier(ahead []*Job, j *Job, env Env) []*Job {
+	var out []*Job
+	for _, a := range ahead {
+		if a.Rank == j.Rank && a.Waiting > 0 && env.UnderLimit(a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func skip(passed []*Job) {
+	for _, a := range passed {
+		a.Skips++
+	}
+}
+
+// better prefers the machine that j fills best, then the cheaper one.
+func better(a, b *Machine, j *Job) bool {
+	la, lb := leftover(a, j), leftover(b, j)
+	if math.Abs(la-lb) > slack {
+		return la < lb
+	}
+	if a.Price != b.Price {
+		return a.Price < b.Price
+	}
+	return a.ID < b.ID
+}
+
+func leftover(m *Machine, j *Job) float64 {
+	left := 0.0
+	if m.Capacity.CPUs > 0 {
+		left += (m.Free.CPUs - j.Need.CPUs) / m.Capacity.CPUs
+	}
+	if m.Capacity.MemoryGB > 0 {
+		left += (m.Free.MemoryGB - j.Need.MemoryGB) / m.Capacity.MemoryGB
+	}
+	if m.Capacity.GPUs > 0 {
+		left += (m.Free.GPUs - j.Need.GPUs) / m.Capacity.GPUs
+	}
+	return left
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,155 @@
+// Package statestore speaks the state service's protocol. It sends what the
+// core asks for and brings back what came; retries are the core's business.
+package statestore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"mulleinfall/internal/core"
+)
+
+// Client calls the state service at Addr.
+type Client struct {
+	Addr string
+	HTTP *http.Client
+}
+
+// maxBody bounds an answer: a page holds 512 KiB at most, a watch can hold
+// many changes.
+const maxBody = 16 << 20
+
+type wireItem struct {
+	Key    string          `json:"k"`
+	Value  json.RawMessage `json:"value"`
+	Stamp  uint64          `json:"stamp"`
+	Set    string          `json:"set"`
+	Remove string          `json:"remove"`
+}
+
+type wireAnswer struct {
+	Rev    uint64     `json:"ledgerRev"`
+	Items  []wireItem `json:"items"`
+	More   bool       `json:"truncated"`
+	News   []wireItem `json:"news"`
+	Lease  uint64     `json:"tether"`
+	Failed []string   `json:"failed"`
+	Error  string     `json:"error"`
+}
+
+type wireGuard struct {
+	Key   string `json:"k"`
+	Stamp uint64 `json:"stamp"`
+}
+
+type wireChange struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Lease  uint64          `json:"tether,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+}
+
+type wireTxn struct {
+	Guards []wireGuard  `json:"guards"`
+	Then   []wireChange `json:"then"`
+}
+
+// Do carries a call out.
+func (c *Client) Do(ctx context.Context, call core.StoreCall) core.StoreDone {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	done := core.StoreDone{Call: call.Call}
+	status, ans, err := c.exchange(ctx, call)
+	if err != nil {
+		done.Err = err.Error()
+		return done // whatever arrived: the outcome is not known
+	}
+	done.Status, done.Err, done.Rev = status, ans.Error, ans.Rev
+	done.More, done.Lease, done.Failed = ans.More, ans.Lease, ans.Failed
+	for _, it := range append(ans.Items, ans.News...) {
+		item := core.Item{Key: it.Key, Value: it.Value, Stamp: it.Stamp}
+		if it.Set != "" {
+			item.Key = it.Set
+		}
+		if it.Remove != "" {
+			item.Key, item.Removed = it.Remove, true
+		}
+		done.Items = append(done.Items, item)
+	}
+	return done
+}
+
+func (c *Client) exchange(ctx context.Context, call core.StoreCall) (int, *wireAnswer, error) {
+	method, path := http.MethodGet, ""
+	var body any
+	switch call.Op {
+	case core.StoreList:
+		q := url.Values{"under": {call.Prefix}, "page": {strconv.Itoa(call.Limit)}}
+		if call.From != "" {
+			q.Set("after", call.From)
+		}
+		path = "/keys?" + q.Encode()
+	case core.StoreWatch:
+		q := url.Values{"under": {call.Prefix}, "after": {strconv.FormatUint(call.After, 10)},
+			"blockMs": {strconv.FormatInt(call.Block.Milliseconds(), 10)}}
+		path = "/watch?" + q.Encode()
+	case core.StoreTxn:
+		t := wireTxn{Guards: []wireGuard{}, Then: []wireChange{}}
+		for _, g := range call.Guards {
+			t.Guards = append(t.Guards, wireGuard(g))
+		}
+		for _, ch := range call.Then {
+			if ch.Remove {
+				t.Then = append(t.Then, wireChange{Remove: ch.Key})
+			} else {
+				t.Then = append(t.Then, wireChange{Set: ch.Key, Value: ch.Value, Lease: ch.Lease})
+			}
+		}
+		method, path, body = http.MethodPost, "/multi", t
+	case core.StoreGrant:
+		method, path, body = http.MethodPost, "/grants", map[string]int64{"lifeMs": call.Life.Milliseconds()}
+	case core.StoreTouch:
+		method, path = http.MethodPost, fmt.Sprintf("/grants/%d/touch", call.Lease)
+	case core.StoreRevoke:
+		method, path = http.MethodDelete, fmt.Sprintf("/grants/%d", call.Lease)
+	default:
+		return 0, nil, fmt.Errorf("unknown call %q", call.Op)
+	}
+	var rd io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, fmt.Errorf("encode: %w", err)
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, rd)
+	if err != nil {
+		return 0, nil, fmt.Errorf("request: %w", err)
+	}
+	// Never let the transport send a change a second time by itself: the
+	// core must know of each copy.
+	req.GetBody = nil
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	var ans wireAnswer
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return 0, nil, fmt.Errorf("read: %w", err)
+	}
+	if len(bytes.TrimSpace(b)) > 0 {
+		if err := json.Unmarshal(b, &ans); err != nil && resp.StatusCode == http.StatusOK {
+			return 0, nil, fmt.Errorf("decode: %w", err)
+		}
+	}
+	return resp.StatusCode, &ans, nil
+}
