Fix crash at election: the own term looked won by another

Cause: the winner applied its own term key before noting that it was elected, so superseded() ended the tenure it had just won (nil dereference in takeOver). Ruled out: memory limit (peak 15 MB).

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -189,9 +189,10 @@
 			s.stepDown("key not won")
 			return
 		}
+		// Before the term is applied: else it would look won by another.
+		s.electedAt, s.electedRev = s.now, d.Rev
 		s.apply(Item{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term}), Stamp: d.Rev})
 		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
-		s.electedAt, s.electedRev = s.now, d.Rev
 		s.claimAt, s.touchAt = 0, s.now
 		s.log(slog.LevelInfo, "elected", "term", t.Term)
 		s.catchUp()
