--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -389,3 +389,9 @@
 	}
 	return ""
 }
+
+// LeadingAt says whether this node may act as leader at now. It changes
+// nothing: a test can ask without ending what has lapsed.
+func (s *State) LeadingAt(now time.Duration) bool {
+	return s.tenure != nil && s.ready && s.electedAt != 0 && now < s.tenure.Until()
+}
--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+// Checker watches the rules of the protocol, knowing what really happened.
+type Checker struct {
+	w        *World
+	jobs     map[string]*truth
+	Broken   []string
+	Starts   int
+	Finished int
+}
+
+// truth is what really became of a job.
+type truth struct {
+	spec          model.Job
+	runTime       time.Duration
+	accepted      bool
+	asked         bool // its user asked to cancel it
+	done          map[string]bool
+	on            map[string]*Worker
+	toldDone      bool
+	toldCancelled time.Duration
+}
+
+func (c *Checker) broken(rule, format string, args ...any) {
+	line := rule + ": " + fmt.Sprintf(format, args...)
+	c.w.tell("BROKEN %s", line)
+	c.Broken = append(c.Broken, fmt.Sprintf("%.3f %s", c.w.Now.Seconds(), line))
+}
+
+func (c *Checker) submitted(spec model.Job, runTime time.Duration) *truth {
+	t := &truth{spec: spec, runTime: runTime, done: map[string]bool{}, on: map[string]*Worker{}}
+	c.jobs[spec.ID] = t
+	return t
+}
+
+func (c *Checker) jobOf(task string) *truth {
+	id, _, _ := model.SplitTask(task)
+	return c.jobs[id]
+}
+
+// on notes that a task is on a machine from now.
+func (c *Checker) on(task string, wk *Worker, r *run) {
+	t := c.jobOf(task)
+	c.Starts++
+	c.w.tell("task %s attempt %d runs on %s", task, r.attempt, wk.info.Host)
+	if o := t.on[task]; o != nil {
+		c.broken("ran_twice", "%s on %s and %s", task, o.info.Host, wk.info.Host)
+	}
+	j := &t.spec
+	if !j.AllowsType(wk.info.Type) || j.Zone != "" && j.Zone != wk.info.Zone || wk.info.Spot && !j.Spot {
+		c.broken("wrong_place", "%s on %s", task, wk.info.Host)
+	}
+	here := 1
+	for _, o := range t.on {
+		if o.info.Zone == wk.info.Zone {
+			here++
+		} else if j.OneZone {
+			c.broken("wrong_place", "%s in %s, others in %s", task, wk.info.Zone, o.info.Zone)
+		}
+	}
+	if j.Spread && here > j.ZoneCap() {
+		c.broken("wrong_place", "%d of %s in %s", here, j.ID, wk.info.Zone)
+	}
+	if t.toldCancelled != 0 && c.w.Now > t.toldCancelled+c.w.Opt.Config.CancelIn {
+		c.broken("ran_cancelled", "%s starts", task)
+	}
+	t.on[task] = wk
+	c.quota(j.Team)
+}
+
+func (c *Checker) quota(team string) {
+	lim := c.w.Opt.Config.Teams[team].Limit
+	if lim.CPUs == 0 {
+		return
+	}
+	used := 0.0
+	for _, t := range c.jobs {
+		if t.spec.Team == team {
+			used += float64(len(t.on)) * t.spec.CPUs
+		}
+	}
+	if used > lim.CPUs+1e-6 {
+		c.broken("quota", "team %s uses %v of %v CPUs", team, used, lim.CPUs)
+	}
+}
+
+// off notes that a task has left a machine.
+func (c *Checker) off(task string, wk *Worker, r *run) {
+	if t := c.jobOf(task); t != nil && t.on[task] == wk {
+		delete(t.on, task)
+		c.w.tell("task %s attempt %d leaves %s", task, r.attempt, wk.info.Host)
+	}
+}
+
+// told checks an answer to a user against the truth and earlier answers.
+func (c *Checker) told(t *truth, r core.Reply) {
+	id := t.spec.ID
+	if t.accepted && (r.Status == 404 || r.Status == 400 || r.Status == 422) {
+		c.broken("forgotten", "%s is answered %d", id, r.Status)
+	}
+	st, ok := r.Body.(core.JobStatus)
+	if !ok || r.Status != 200 && r.Status != 201 {
+		return
+	}
+	if t.toldDone && st.Phase != model.PhaseDone || t.toldCancelled != 0 && st.Phase != model.PhaseAborted {
+		c.broken("went_back", "%s is called %s", id, st.Phase)
+	}
+	switch st.Phase {
+	case model.PhaseDone:
+		if len(t.done) < t.spec.Tasks {
+			c.broken("not_done", "%s with %d of %d", id, len(t.done), t.spec.Tasks)
+		}
+		if !t.toldDone {
+			t.toldDone = true
+			c.Finished++
+		}
+	case model.PhaseAborted:
+		if !t.asked {
+			c.broken("went_back", "%s is called cancelled unasked", id)
+		}
+		if t.toldCancelled == 0 {
+			t.toldCancelled = c.w.Now
+			limit := c.w.Opt.Config.CancelIn
+			c.w.After(limit+time.Millisecond, func() {
+				for task := range t.on {
+					c.broken("ran_cancelled", "%s", task)
+				}
+			})
+		}
+	}
+}
+
+// Jobs counts the jobs that were accepted and neither cancelled nor services,
+// and how many of them users were told are done.
+func (c *Checker) Jobs() (accepted, done int) {
+	for _, t := range c.jobs {
+		if t.accepted && !t.asked && t.spec.Kind == model.Batch {
+			accepted++
+			if t.toldDone {
+				done++
+			}
+		}
+	}
+	return
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,202 @@
+package standin
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"mulleinfall/internal/core"
+)
+
+// Store stands in for the state service.
+type Store struct {
+	w      *World
+	rev    uint64
+	items  map[string]*stored
+	log    []core.Item
+	leases map[uint64]*lease
+	next   uint64
+	Out    bool            // an outage: every node gets 503
+	Refuse map[string]bool // nodes that alone get 503
+	Late   time.Duration   // if set, each transaction is also applied this much later again
+	waits  []*watch
+	Txns   int
+}
+
+type stored struct {
+	value json.RawMessage
+	stamp uint64
+	lease uint64
+}
+
+type lease struct {
+	life time.Duration
+	ends time.Duration
+}
+
+type watch struct {
+	call  core.StoreCall
+	reply func(core.StoreDone)
+	done  bool
+	node  string
+}
+
+func newStore(w *World) *Store {
+	s := &Store{w: w, items: map[string]*stored{}, leases: map[uint64]*lease{}, Refuse: map[string]bool{}}
+	var expire func()
+	expire = func() {
+		for id, l := range s.leases {
+			if !s.Out && w.Now >= l.ends {
+				s.endLease(id)
+			}
+		}
+		w.After(50*time.Millisecond, expire)
+	}
+	w.After(0, expire)
+	return s
+}
+
+// Recover ends an outage: all leases get their full time again.
+func (s *Store) Recover() {
+	s.Out = false
+	for _, l := range s.leases {
+		l.ends = s.w.Now + l.life
+	}
+	s.wake()
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for _, k := range sortedKeys(s.items) {
+		if s.items[k].lease == id {
+			s.rev++
+			delete(s.items, k)
+			s.log = append(s.log, core.Item{Key: k, Stamp: s.rev, Removed: true})
+		}
+	}
+	s.wake()
+}
+
+func (s *Store) serve(node string, c core.StoreCall, reply func(core.StoreDone)) {
+	if c.Op == core.StoreWatch && c.Block > 0 {
+		wt := &watch{call: c, reply: reply, node: node}
+		s.waits = append(s.waits, wt)
+		s.w.After(c.Block, func() { s.answerWatch(wt, true) })
+		s.wake()
+		return
+	}
+	if s.Out || s.Refuse[node] {
+		reply(core.StoreDone{Call: c.Call, Status: 503})
+		return
+	}
+	reply(s.do(c))
+	if c.Op == core.StoreTxn && s.Late > 0 {
+		s.w.After(s.Late, func() { s.do(c) })
+	}
+}
+
+func (s *Store) wake() {
+	for _, wt := range s.waits {
+		s.answerWatch(wt, false)
+	}
+	kept := s.waits[:0]
+	for _, wt := range s.waits {
+		if !wt.done {
+			kept = append(kept, wt)
+		}
+	}
+	s.waits = kept
+}
+
+func (s *Store) answerWatch(wt *watch, timeUp bool) {
+	if wt.done || s.Out || s.Refuse[wt.node] {
+		return // open watches wait during an outage
+	}
+	d := s.do(core.StoreCall{Call: wt.call.Call, Op: core.StoreWatch, Prefix: wt.call.Prefix, After: wt.call.After})
+	if len(d.Items) > 0 || timeUp {
+		wt.done = true
+		wt.reply(d)
+	}
+}
+
+func (s *Store) do(c core.StoreCall) core.StoreDone {
+	d := core.StoreDone{Call: c.Call, Status: 200, Rev: s.rev}
+	switch c.Op {
+	case core.StoreList:
+		keys := sortedKeys(s.items)
+		i := sort.SearchStrings(keys, c.Prefix)
+		for ; i < len(keys) && strings.HasPrefix(keys[i], c.Prefix); i++ {
+			if keys[i] <= c.From {
+				continue
+			}
+			if len(d.Items) == c.Limit {
+				d.More = true
+				break
+			}
+			it := s.items[keys[i]]
+			d.Items = append(d.Items, core.Item{Key: keys[i], Value: it.value, Stamp: it.stamp})
+		}
+	case core.StoreWatch:
+		last := map[string]int{}
+		for _, it := range s.log {
+			if it.Stamp > c.After && strings.HasPrefix(it.Key, c.Prefix) {
+				d.Items = append(d.Items, it)
+				last[it.Key]++
+			}
+		}
+	case core.StoreGrant:
+		s.next++
+		s.leases[s.next] = &lease{c.Life, s.w.Now + c.Life}
+		d.Lease = s.next
+	case core.StoreTouch:
+		l := s.leases[c.Lease]
+		if l == nil {
+			d.Status = 404
+			break
+		}
+		l.ends = s.w.Now + l.life
+	case core.StoreRevoke:
+		if s.leases[c.Lease] == nil {
+			d.Status = 404
+			break
+		}
+		s.endLease(c.Lease)
+	case core.StoreTxn:
+		s.Txns++
+		for _, ch := range c.Then {
+			if ch.Lease != 0 && s.leases[ch.Lease] == nil {
+				d.Status, d.Err = 400, "no such lease"
+				return d
+			}
+		}
+		for _, g := range c.Guards {
+			have := uint64(0)
+			if it := s.items[g.Key]; it != nil {
+				have = it.stamp
+			}
+			if have != g.Stamp {
+				d.Failed = append(d.Failed, g.Key)
+			}
+		}
+		if len(d.Failed) > 0 {
+			d.Status = 409
+			return d
+		}
+		s.rev++
+		for _, ch := range c.Then {
+			if ch.Remove {
+				if s.items[ch.Key] != nil {
+					delete(s.items, ch.Key)
+					s.log = append(s.log, core.Item{Key: ch.Key, Stamp: s.rev, Removed: true})
+				}
+				continue
+			}
+			s.items[ch.Key] = &stored{ch.Value, s.rev, ch.Lease}
+			s.log = append(s.log, core.Item{Key: ch.Key, Value: ch.Value, Stamp: s.rev})
+		}
+		d.Rev = s.rev
+		s.w.After(0, s.wake)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+// Users stand in for the users: they submit, poll and cancel.
+type Users struct {
+	w *World
+}
+
+// Submit has a user submit a job now whose tasks really run for runTime, and
+// follow it to its end.
+func (u *Users) Submit(spec model.Job, runTime time.Duration) {
+	w := u.w
+	t := w.Check.submitted(spec, runTime)
+	give := w.Now + 60*time.Second
+	var try func()
+	try = func() {
+		if w.Now >= give || t.accepted {
+			return
+		}
+		u.ask(func(req uint64) core.Event { return core.Submit{Req: req, Job: spec} }, 5*time.Second, func(r core.Reply) {
+			w.Check.told(t, r)
+			if r.Status == 200 || r.Status == 201 {
+				t.accepted = true
+				w.After(5*time.Second, func() { u.poll(t) })
+				return
+			}
+			if r.Status == 400 || r.Status == 422 {
+				return
+			}
+			w.After(time.Second, try)
+		})
+	}
+	try()
+}
+
+func (u *Users) poll(t *truth) {
+	if t.toldDone || t.toldCancelled != 0 {
+		// Now and then somebody looks again: the answer must stay.
+		u.w.After(20*time.Second, func() { u.look(t.spec.ID, func(r core.Reply) { u.w.Check.told(t, r) }) })
+		return
+	}
+	u.look(t.spec.ID, func(r core.Reply) { u.w.Check.told(t, r) })
+	u.w.After(5*time.Second, func() { u.poll(t) })
+}
+
+func (u *Users) look(id string, f func(core.Reply)) {
+	u.ask(func(req uint64) core.Event { return core.Poll{Req: req, ID: id} }, 2*time.Second, f)
+}
+
+// Cancel has the user cancel a job.
+func (u *Users) Cancel(id string) {
+	t := u.w.Check.jobs[id]
+	t.asked = true
+	var try func()
+	try = func() {
+		if t.toldCancelled != 0 || t.toldDone {
+			return
+		}
+		u.ask(func(req uint64) core.Event { return core.Withdraw{Req: req, ID: id} }, 5*time.Second, func(r core.Reply) {
+			if r.Status == 404 && !t.accepted {
+				return
+			}
+			u.w.Check.told(t, r)
+			if r.Status != 200 {
+				u.w.After(time.Second, try)
+			}
+		})
+	}
+	try()
+}
+
+// Stranger asks about a job that nobody submitted.
+func (u *Users) Stranger(id string) {
+	u.look(id, func(r core.Reply) {
+		if r.Status == 200 {
+			u.w.Check.broken("invented", "%s", id)
+		}
+	})
+}
+
+// ask sends a request to some node that is up, with a time limit.
+func (u *Users) ask(make_ func(uint64) core.Event, limit time.Duration, f func(core.Reply)) {
+	w := u.w
+	n := w.Nodes[w.Rnd.IntN(len(w.Nodes))]
+	over := false
+	end := func(r core.Reply) {
+		if !over {
+			over = true
+			f(r)
+		}
+	}
+	n.ask("users", make_, end)
+	w.After(limit, func() { end(core.Reply{}) })
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,297 @@
+package standin
+
+import (
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+// Worker stands in for the worker of one machine.
+type Worker struct {
+	w    *World
+	info model.Listed
+	typ  *model.MachineType
+	dead bool
+	Hung bool
+
+	session, seq, epoch uint64
+	leaseFrom           time.Duration
+	tasks               map[string]*run
+	images              map[string]bool
+	target              int
+	inFlight            int // number of the report under way; 0: none
+	reports             int
+	nextBeat            time.Duration
+	changed             bool
+	lastBeat            time.Duration
+	late                []func() // commands that came while it hung
+}
+
+type run struct {
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	end     time.Duration
+	began   time.Duration
+}
+
+func (w *World) startWorker(info model.Listed, typ *model.MachineType) {
+	wk := &Worker{w: w, info: info, typ: typ, session: 1, leaseFrom: w.Now, tasks: map[string]*run{}, images: map[string]bool{}}
+	wk.target = w.Rnd.IntN(len(w.Nodes))
+	w.Workers[info.Endpoint] = wk
+	w.tell("machine %s is up in %s", info.Host, info.Zone)
+	wk.nextBeat = w.Now
+	wk.loop()
+}
+
+func (wk *Worker) stop() {
+	wk.dead = true
+	for name, r := range wk.tasks {
+		wk.w.Check.off(name, wk, r)
+	}
+	wk.tasks = map[string]*run{}
+	delete(wk.w.Workers, wk.info.Endpoint)
+}
+
+// Hang stops the machine for d; it goes on afterwards.
+func (wk *Worker) Hang(d time.Duration) {
+	wk.Hung = true
+	wk.w.tell("machine %s hangs", wk.info.Host)
+	since := wk.w.Now
+	wk.w.After(d, func() {
+		wk.Hung = false
+		for _, r := range wk.tasks {
+			r.end += wk.w.Now - since
+		}
+		wk.expire()
+		late := wk.late
+		wk.late = nil
+		for _, f := range late {
+			f()
+		}
+	})
+}
+
+func (wk *Worker) loop() {
+	if wk.dead {
+		return
+	}
+	// A machine that hangs runs nothing; past its lease nothing of its session
+	// can run again, so its tasks count as gone from then on.
+	wk.expire()
+	if !wk.Hung {
+		wk.advance()
+		due := wk.w.Now >= wk.nextBeat || wk.changed && wk.w.Now >= wk.lastBeat+500*time.Millisecond
+		if due && wk.inFlight == 0 {
+			wk.beat()
+		}
+	}
+	wk.w.After(20*time.Millisecond, wk.loop)
+}
+
+func (wk *Worker) expire() {
+	if wk.w.Now < wk.leaseFrom+wk.w.Opt.Config.Lease {
+		return
+	}
+	wk.w.tell("machine %s: lease ran out", wk.info.Host)
+	for name, r := range wk.tasks {
+		wk.w.Check.off(name, wk, r)
+	}
+	wk.tasks = map[string]*run{}
+	wk.session++
+	wk.leaseFrom = wk.w.Now
+	wk.changed = true
+}
+
+// advance moves tasks along: images arrive, tasks end.
+func (wk *Worker) advance() {
+	for _, name := range sortedKeys(wk.tasks) {
+		r := wk.tasks[name]
+		t := wk.w.Check.jobOf(name)
+		switch r.state {
+		case model.TaskFetching:
+			if wk.w.Now >= r.end {
+				wk.images[t.spec.Image] = true
+				r.state, wk.changed = model.TaskRunning, true
+				r.began = wk.w.Now
+				r.end = wk.w.Now + t.runTime
+				if t.spec.Kind == model.Service {
+					r.end = 1 << 62
+				}
+				wk.w.Check.on(name, wk, r)
+				if t.done[name] {
+					wk.exit(name, r, model.CauseDone)
+				}
+			}
+		case model.TaskRunning:
+			if wk.w.Now >= r.end {
+				t.done[name] = true
+				wk.exit(name, r, model.CauseDone)
+			}
+		case model.TaskSaving:
+			if wk.w.Now >= r.end {
+				r.saved = true
+				wk.exit(name, r, model.CauseStopped)
+			}
+		}
+	}
+}
+
+func (wk *Worker) exit(name string, r *run, cause string) {
+	wk.w.Check.off(name, wk, r)
+	r.state, r.cause, wk.changed = model.TaskExited, cause, true
+}
+
+func (wk *Worker) report() model.Report {
+	wk.seq++
+	rep := model.Report{Host: wk.info.Host, Endpoint: wk.info.Endpoint, Type: wk.info.Type, Zone: wk.info.Zone, Spot: wk.info.Spot,
+		Session: wk.session, Seq: wk.seq, Epoch: wk.epoch}
+	for _, name := range sortedKeys(wk.tasks) {
+		r := wk.tasks[name]
+		rep.Tasks = append(rep.Tasks, model.TaskReport{Task: name, Attempt: r.attempt, State: r.state, Cause: r.cause, Saved: r.saved})
+	}
+	return rep
+}
+
+func (wk *Worker) beat() {
+	w := wk.w
+	wk.changed = false
+	wk.reports++
+	number := wk.reports
+	wk.inFlight, wk.lastBeat = number, w.Now
+	every := w.Opt.Config.ReportEvery
+	wk.nextBeat = w.Now + every*3/4 + time.Duration(w.Rnd.Int64N(int64(every/2)))
+	sent, session := w.Now, wk.session
+	rep := wk.report()
+	node := w.Nodes[wk.target]
+	next := func(wait time.Duration, target int) {
+		wk.inFlight = 0
+		wk.target = target
+		wk.nextBeat = w.Now + wait
+	}
+	node.ask(wk.info.Endpoint, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} }, func(r core.Reply) {
+		if wk.dead || wk.inFlight != number {
+			return // given up: dropped
+		}
+		if wk.Hung {
+			return // the time limit below moves it on
+		}
+		switch r.Status {
+		case 200:
+			wk.inFlight = 0
+			body := r.Body.(core.BeatReply)
+			if session != wk.session || body.Epoch < wk.epoch || body.Epoch == 0 {
+				return
+			}
+			if body.Epoch > wk.epoch {
+				wk.epoch, wk.changed = body.Epoch, true
+			}
+			wk.leaseFrom = max(wk.leaseFrom, sent)
+			wk.execute(body.Orders)
+		case 421:
+			to := (wk.target + 1) % len(w.Nodes)
+			wait := time.Second
+			if red, ok := r.Body.(core.Redirect); ok && red.Leader != "" && red.Leader != node.Name {
+				for i, o := range w.Nodes {
+					if o.Name == red.Leader {
+						to, wait = i, time.Duration(w.Rnd.Int64N(int64(500*time.Millisecond)))
+					}
+				}
+			}
+			next(wait, to)
+		default:
+			next(time.Second, (wk.target+1)%len(w.Nodes))
+		}
+	})
+	w.After(4*time.Second, func() {
+		if wk.inFlight == number {
+			next(time.Second, (wk.target+1)%len(w.Nodes))
+		}
+	})
+}
+
+func (wk *Worker) commands(c core.AgentCall, reply func(core.AgentDone)) {
+	run := func() {
+		if wk.dead {
+			return
+		}
+		wk.expire()
+		d := core.AgentDone{Call: c.Call, Status: 200}
+		if c.Epoch < wk.epoch || c.Session != wk.session {
+			d.Status = 409
+		} else {
+			if c.Epoch > wk.epoch {
+				wk.epoch, wk.changed = c.Epoch, true
+			}
+			wk.execute(c.Orders)
+		}
+		rep := wk.report()
+		d.Report = &rep
+		reply(d)
+	}
+	if wk.Hung {
+		wk.late = append(wk.late, run)
+		return
+	}
+	run()
+}
+
+func (wk *Worker) execute(orders []model.Order) {
+	for _, o := range orders {
+		r := wk.tasks[o.Task]
+		switch o.Verb {
+		case model.Start:
+			if r != nil && r.attempt == o.Attempt {
+				continue
+			}
+			wk.changed = true
+			n := &run{attempt: o.Attempt, state: model.TaskFetching}
+			t := wk.w.Check.jobOf(o.Task)
+			switch {
+			case r != nil && r.state != model.TaskExited:
+				continue // in use: the running attempt stays on the list
+			case t == nil:
+				n.state, n.cause = model.TaskExited, model.CauseUnknown
+			case !wk.fits(t):
+				n.state, n.cause = model.TaskExited, model.CauseNoRoom
+			case wk.images[t.spec.Image]:
+				n.end = wk.w.Now
+			default:
+				n.end = wk.w.Now + time.Duration(t.spec.ImageGB/wk.typ.FetchRate*float64(time.Second))
+			}
+			wk.tasks[o.Task] = n
+		case model.Kill:
+			if r == nil || r.attempt != o.Attempt || r.state == model.TaskExited {
+				continue
+			}
+			t := wk.w.Check.jobOf(o.Task)
+			if r.state == model.TaskRunning && t.spec.Checkpoint > 0 && o.Grace != nil && *o.Grace >= t.spec.SaveCost {
+				r.state, r.end, wk.changed = model.TaskSaving, wk.w.Now+time.Duration(t.spec.SaveCost*float64(time.Second)), true
+				continue
+			}
+			if r.state == model.TaskSaving && (o.Grace == nil || *o.Grace > 0) {
+				continue
+			}
+			wk.exit(o.Task, r, model.CauseStopped)
+		case model.Forget:
+			if r != nil && r.attempt == o.Attempt && r.state == model.TaskExited {
+				delete(wk.tasks, o.Task)
+			}
+		}
+	}
+	wk.advance()
+}
+
+func (wk *Worker) fits(t *truth) bool {
+	cpus, mem := wk.typ.CPUs, wk.typ.MemoryGB
+	for name, r := range wk.tasks {
+		if r.state != model.TaskExited {
+			o := wk.w.Check.jobOf(name)
+			cpus -= o.spec.CPUs
+			mem -= o.spec.MemoryGB
+		}
+	}
+	return t.spec.CPUs <= cpus+1e-6 && t.spec.MemoryGB <= mem+1e-6
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,362 @@
+// Package standin holds stand-ins for all that the service deals with — state
+// service, cloud, workers, users and the network between them — on a virtual
+// clock, and a checker of the rules. Whole-service tests run several cores
+// against them: no sockets, no waiting, and the same seed gives the same day.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+// Options describe a day.
+type Options struct {
+	Seed    uint64
+	Nodes   int
+	Zones   []string
+	Types   []model.MachineType
+	Config  core.Config // Self, Peers and Boot are filled in
+	Restart time.Duration
+	ListLag time.Duration
+	// Capacity is how many machines of each type and zone the cloud has.
+	Capacity int
+	// Tamper, if set, may change a node's effects: tests of the checker break
+	// the service with it on purpose.
+	Tamper func(w *World, n *Node, e core.Effect) core.Effect
+}
+
+// World is everything outside the cores.
+type World struct {
+	Opt   Options
+	Now   time.Duration
+	Rnd   *rand.Rand
+	queue events
+	seq   uint64
+
+	Nodes   []*Node
+	Store   *Store
+	Cloud   *Cloud
+	Workers map[string]*Worker
+	Users   *Users
+	Check   *Checker
+
+	links map[[2]string]*link
+	Trace []string // what happened, for people to read
+	Tell  bool     // keep the trace
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || e[a].at == e[b].at && e[a].seq < e[b].seq
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// Defaults is a small deployment: three controllers in three zones.
+func Defaults(seed uint64) Options {
+	zones := []string{"a", "b", "c"}
+	return Options{
+		Seed: seed, Nodes: 3, Zones: zones, Restart: 3 * time.Second, ListLag: 5 * time.Second, Capacity: 4,
+		Types: []model.MachineType{{
+			Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchRate: 1, Price: 0.2, SpotPrice: 0.1, BootS: 10, ZonesAvail: zones,
+		}},
+		Config: core.Config{
+			Teams:       map[string]core.Team{"t": {}, "tight": {}},
+			ReportEvery: 1500 * time.Millisecond, Lease: 10 * time.Second, CancelIn: 30 * time.Second,
+			StoreRPS: 150, StoreWrites: 50, ValueBytes: 32 << 10, TxnOps: 12, CloudRPS: 6, ListLag: 5 * time.Second,
+			Tuning: core.DefaultTuning(),
+		},
+	}
+}
+
+// New makes a world with all its controllers started.
+func New(opt Options) *World {
+	w := &World{Opt: opt, Rnd: rand.New(rand.NewPCG(opt.Seed, 7)), Workers: map[string]*Worker{}, links: map[[2]string]*link{}}
+	w.Check = &Checker{w: w, jobs: map[string]*truth{}}
+	w.Store = newStore(w)
+	w.Cloud = &Cloud{w: w, hires: map[string][]string{}, machines: map[string]*rented{}}
+	w.Users = &Users{w: w}
+	for i := 0; i < opt.Nodes; i++ {
+		n := &Node{w: w, Name: fmt.Sprintf("n%d", i), index: i}
+		w.Nodes = append(w.Nodes, n)
+	}
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	return w
+}
+
+// At runs f at time t.
+func (w *World) At(t time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(t, w.Now), w.seq, f})
+}
+
+// After runs f d from now.
+func (w *World) After(d time.Duration, f func()) { w.At(w.Now+d, f) }
+
+// Run plays the day until t.
+func (w *World) Run(t time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= t {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.f()
+	}
+	w.Now = t
+}
+
+func (w *World) tell(format string, args ...any) {
+	if w.Tell {
+		w.Trace = append(w.Trace, fmt.Sprintf("%9.3f %s", w.Now.Seconds(), fmt.Sprintf(format, args...)))
+	}
+}
+
+// link is a direction of the network between two hosts.
+type link struct {
+	mode string // "", "drop" or "hold"
+	held []func()
+}
+
+// Cut breaks the network between two hosts, both ways. mode "drop" loses
+// packets, "hold" delivers them when the cut is healed.
+func (w *World) Cut(a, b, mode string) {
+	w.link(a, b).mode = mode
+	w.link(b, a).mode = mode
+}
+
+// Heal mends it; what was held is delivered late.
+func (w *World) Heal(a, b string) {
+	for _, l := range []*link{w.link(a, b), w.link(b, a)} {
+		l.mode = ""
+		held := l.held
+		l.held = nil
+		for _, f := range held {
+			w.After(w.latency(), f)
+		}
+	}
+}
+
+func (w *World) link(a, b string) *link {
+	k := [2]string{a, b}
+	if w.links[k] == nil {
+		w.links[k] = &link{}
+	}
+	return w.links[k]
+}
+
+func (w *World) latency() time.Duration {
+	return time.Millisecond + time.Duration(w.Rnd.Int64N(int64(4*time.Millisecond)))
+}
+
+// send delivers f from a to b, or not.
+func (w *World) send(a, b string, f func()) {
+	l := w.link(a, b)
+	switch l.mode {
+	case "drop":
+	case "hold":
+		l.held = append(l.held, f)
+	default:
+		w.After(w.latency(), f)
+	}
+}
+
+// Node runs a core.
+type Node struct {
+	w     *World
+	Name  string
+	index int
+	life  int
+	State *core.State
+	asks  map[uint64]func(core.Reply)
+	req   uint64
+	Boots int
+	skew  float64
+}
+
+// Up says whether the process runs.
+func (n *Node) Up() bool { return n.State != nil }
+
+func (n *Node) clock() time.Duration {
+	return time.Duration(float64(n.w.Now) * (1 + n.skew))
+}
+
+// Start starts the process.
+func (n *Node) Start() {
+	cfg := n.w.Opt.Config
+	cfg.Self = n.Name
+	cfg.Boot = n.w.Opt.Seed*1000 + uint64(n.index*100+n.Boots)
+	for _, o := range n.w.Nodes {
+		if o != n {
+			cfg.Peers = append(cfg.Peers, o.Name)
+		}
+	}
+	n.Boots++
+	n.life++
+	n.skew = (n.w.Rnd.Float64() - 0.5) * core.Drift
+	n.asks = map[uint64]func(core.Reply){}
+	n.State = core.New(cfg, n.clock())
+	n.w.tell("%s starts", n.Name)
+	n.tick(n.life)
+}
+
+// Crash kills the process; it starts again after the restart delay.
+func (n *Node) Crash() {
+	if n.State == nil {
+		return
+	}
+	n.w.tell("%s crashes", n.Name)
+	n.State = nil
+	n.life++
+	n.w.After(n.w.Opt.Restart, func() {
+		if n.State == nil {
+			n.Start()
+		}
+	})
+}
+
+func (n *Node) tick(life int) {
+	if n.life != life || n.State == nil {
+		return
+	}
+	n.Step(core.Tick{})
+	n.w.After(50*time.Millisecond, func() { n.tick(life) })
+}
+
+// Step feeds the core an event and carries its effects out.
+func (n *Node) Step(ev core.Event) {
+	if n.State == nil {
+		return
+	}
+	for _, e := range n.State.Step(n.clock(), ev) {
+		if n.w.Opt.Tamper != nil {
+			e = n.w.Opt.Tamper(n.w, n, e)
+		}
+		n.effect(e)
+	}
+}
+
+// later posts an event to this life of the process.
+func (n *Node) later(ev core.Event) {
+	n.Step(ev)
+}
+
+func (n *Node) effect(e core.Effect) {
+	w, life := n.w, n.life
+	alive := func(f func()) func() {
+		return func() {
+			if n.life == life && n.State != nil {
+				f()
+			}
+		}
+	}
+	switch e := e.(type) {
+	case core.Reply:
+		if f := n.asks[e.Req]; f != nil {
+			delete(n.asks, e.Req)
+			f(e)
+		}
+	case core.StoreCall:
+		w.send(n.Name, "state", func() {
+			w.Store.serve(n.Name, e, func(d core.StoreDone) {
+				w.send("state", n.Name, alive(func() { n.later(d) }))
+			})
+		})
+		w.After(e.Timeout, alive(func() { n.later(core.StoreDone{Call: e.Call}) }))
+	case core.CloudCall:
+		w.send(n.Name, "cloud", func() {
+			d := w.Cloud.serve(e)
+			w.send("cloud", n.Name, alive(func() { n.later(d) }))
+		})
+		w.After(5*time.Second, alive(func() { n.later(core.CloudDone{Call: e.Call}) }))
+	case core.AgentCall:
+		w.send(n.Name, e.Endpoint, func() {
+			wk := w.Workers[e.Endpoint]
+			if wk == nil {
+				return
+			}
+			wk.commands(e, func(d core.AgentDone) {
+				w.send(e.Endpoint, n.Name, alive(func() { n.later(d) }))
+			})
+		})
+		w.After(1500*time.Millisecond, alive(func() { n.later(core.AgentDone{Call: e.Call}) }))
+	case core.PeerOut:
+		for _, o := range w.Nodes {
+			if o.Name == e.To {
+				w.send(n.Name, e.To, func() { o.Step(core.PeerIn{From: n.Name, Msg: e.Msg}) })
+			}
+		}
+	case core.Log:
+		if w.Tell && e.Level >= 0 {
+			var b strings.Builder
+			fmt.Fprintf(&b, "%s: %s", n.Name, e.Text)
+			for i := 0; i+1 < len(e.Args); i += 2 {
+				fmt.Fprintf(&b, " %v=%v", e.Args[i], e.Args[i+1])
+			}
+			w.tell("%s", b.String())
+		}
+	}
+}
+
+// ask sends a request to the node and gives its reply to f.
+func (n *Node) ask(from string, make_ func(uint64) core.Event, f func(core.Reply)) {
+	w := n.w
+	w.send(from, n.Name, func() {
+		if n.State == nil {
+			w.send(n.Name, from, func() { f(core.Reply{}) })
+			return
+		}
+		n.req++
+		n.asks[n.req] = func(r core.Reply) {
+			if r.Until != 0 && n.clock() >= r.Until {
+				r = core.Reply{Status: 503}
+			}
+			w.send(n.Name, from, func() { f(r) })
+		}
+		n.Step(make_(n.req))
+	})
+}
+
+// Leader is the node that may act now, or nil. More than one is a broken
+// election, which the checker notes.
+func (w *World) Leader() *Node {
+	var found *Node
+	for _, n := range w.Nodes {
+		if n.State != nil && n.State.LeadingAt(n.clock()) {
+			if found != nil {
+				w.Check.broken("two_leaders", "%s and %s", found.Name, n.Name)
+			}
+			found = n
+		}
+	}
+	return found
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
