--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,145 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+)
+
+const job = `{"id":"req-000412","lane":"l","owner":"t","shape":"batch","rank":"high","pieces":16,
+ "cpus":8.0,"cards":1.0,"memoryGb":64.0,"build":"img-07","pullGb":6.2,"flavors":["g8"],"site":null,
+ "samePlace":true,"scatter":false,"loaners":true,"guessS":240.0,"snapshotEveryS":30.0,"snapshotCostS":4.0,"dueS":900.0,"new":[1]}`
+
+func TestParseJob(t *testing.T) {
+	j, err := ParseJob([]byte(job))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.ID != "req-000412" || j.Tasks != 16 || j.GPUs != 1 || !j.OneZone || !j.Spot || *j.Due != 900 || j.Zone != "" || j.Types[0] != "g8" {
+		t.Errorf("parsed as %+v", j)
+	}
+	wrong := []struct{ from, to, want string }{
+		{job, `[1]`, "not a JSON object"},
+		{job, `{"id":`, "not a JSON object"},
+		{job, `null`, "not a JSON object"},
+		{`"pieces":16`, `"pieces":0`, "pieces"},
+		{`"pieces":16`, `"pieces":100001`, "pieces"},
+		{`"pieces":16`, `"pieces":1.5`, "pieces"},
+		{`"pieces":16,`, ``, "pieces: missing"},
+		{`"cpus":8.0`, `"cpus":-1`, "cpus"},
+		{`"cpus":8.0`, `"cpus":null`, "cpus: missing"},
+		{`"cpus":8.0`, `"cpus":"NaN"`, "cpus"},
+		{`"id":"req-000412"`, `"id":"job-1"`, "id"},
+		{`"shape":"batch"`, `"shape":"crowd"`, "shape"},
+		{`"rank":"high"`, `"rank":"urgent"`, "rank"},
+		{`"dueS":900.0`, `"dueS":-1`, "dueS"},
+	}
+	for _, c := range wrong {
+		if _, err := ParseJob([]byte(strings.Replace(job, c.from, c.to, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want a complaint about %s", c.to, err, c.want)
+		}
+	}
+	// What may be null may be left out.
+	if _, err := ParseJob([]byte(strings.NewReplacer(`"flavors":["g8"],`, "", `"site":null,`, "", `,"dueS":900.0`, "").Replace(job))); err != nil {
+		t.Errorf("nullable fields left out: %v", err)
+	}
+}
+
+// fake answers every event in the same way.
+type fake struct {
+	reply core.Reply
+	ok    bool
+	now   time.Duration
+	last  core.Event
+}
+
+func (f *fake) Ask(make func(uint64) core.Event, wait time.Duration) (core.Reply, bool) {
+	f.last = make(1)
+	return f.reply, f.ok
+}
+func (f *fake) Now() time.Duration { return f.now }
+
+func serve(f *fake, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	Handler(f).ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+func TestStatuses(t *testing.T) {
+	ok := &fake{reply: core.Reply{Status: 200, Body: core.JobStatus{ID: "req-000001", Phase: "queued"}}, ok: true}
+	full := &fake{}
+	cases := []struct {
+		f                  *fake
+		method, path, body string
+		status             int
+	}{
+		{ok, "POST", "/api/jobs", job, 200},
+		{ok, "POST", "/api/jobs", "{}", 400},
+		{ok, "GET", "/api/jobs", "", 405},
+		{ok, "GET", "/api/jobs/req-000001", "", 200},
+		{ok, "GET", "/api/jobs/nonsense", "", 404},
+		{ok, "DELETE", "/api/jobs/req-000001", "", 405},
+		{ok, "POST", "/api/jobs/req-000001/withdraw", "", 200},
+		{ok, "GET", "/api/jobs/req-000001/withdraw", "", 405},
+		{ok, "POST", "/agent/beat", `{"host":"n-1","tenure":1,"tick":2,"epoch":0,"pieces":[]}`, 200},
+		{ok, "POST", "/agent/beat", `{}`, 400},
+		{ok, "GET", "/up", "", 200},
+		{ok, "GET", "/elsewhere", "", 404},
+		{full, "POST", "/api/jobs", job, 503},
+		{full, "GET", "/api/jobs/req-000001", "", 503},
+	}
+	for _, c := range cases {
+		w := serve(c.f, c.method, c.path, c.body)
+		if w.Code != c.status {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, w.Code, c.status)
+		}
+		if w.Code == 503 && w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s %s: 503 without Retry-After", c.method, c.path)
+		}
+	}
+}
+
+func TestLongBodyRefusedUnread(t *testing.T) {
+	w := serve(&fake{ok: true}, "POST", "/api/jobs", `{"id":"`+strings.Repeat("x", 70<<10)+`"}`)
+	if w.Code != 400 || w.Header().Get("Connection") != "close" {
+		t.Errorf("got %d, Connection %q", w.Code, w.Header().Get("Connection"))
+	}
+}
+
+// TestLateAnswerIsHeldBack: an answer that waited for the processor past the
+// leader's entitlement must not renew a worker's lease.
+func TestLateAnswerIsHeldBack(t *testing.T) {
+	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 5}, Until: time.Second}, ok: true, now: time.Second}
+	if w := serve(f, "POST", "/agent/beat", `{"host":"n-1"}`); w.Code != 503 {
+		t.Errorf("got %d after the entitlement ended", w.Code)
+	}
+}
+
+func TestBeatAndOrdersOnTheWire(t *testing.T) {
+	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 41, Orders: []model.Order{
+		{Verb: model.Start, Task: "req-000412/4", Attempt: 2},
+		{Verb: model.Kill, Task: "req-000377/1", Attempt: 1, Grace: new(float64)},
+	}}}}
+	w := serve(f, "POST", "/agent/beat", `{"host":"n-000231","endpoint":"10.1.0.232:9000","flavor":"g8","site":"a","loaners":true,
+	 "tenure":1,"tick":88,"epoch":41,"recallS":7.5,"pieces":[{"piece":"req-000412/3","try":2,"phase":"exited","cause":"done"}]}`)
+	want := `{"epoch":41,"orders":[{"verb":"start","piece":"req-000412/4","try":2},{"verb":"kill","piece":"req-000377/1","try":1,"windDownS":0}]}`
+	if w.Body.String() != want {
+		t.Errorf("orders: %s", w.Body)
+	}
+	got, _ := json.Marshal(f.last)
+	for _, part := range []string{`"host":"n-000231"`, `"recallS":7.5`, `"tick":88`, `"cause":"done"`} {
+		if !strings.Contains(string(got), part) {
+			t.Errorf("report lost %s: %s", part, got)
+		}
+	}
+	if f.last.(core.Beat).Report.Seq != 88 || http.StatusOK != w.Code {
+		t.Error(fmt.Sprint(f.last))
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{
+  "node_name": "c0", "domain": "a", "api_addr": "127.0.0.1:1", "back": "127.0.0.1:2", "news": [1],
+  "others": [{"node_name": "c1", "domain": "b", "peer_addr": "127.0.0.1:3"}],
+  "endpoints": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+  "facts": {"count": 2, "zones": ["a"], "teams": [{"name": "t", "cpus_max": 4}],
+    "workers": {"report_s": 3, "lease_s": 20, "cancel_s": 30},
+    "state": {"rps": 100, "write_rps": 30, "value_kb": 16, "txn_ops": 24},
+    "cloud": {"rps": 4, "list_lag_s": 10},
+    "quota": {"core_share": 0.2, "ram_mb": 100, "fd_limit": 1000}}
+}`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestLoad(t *testing.T) {
+	s, err := Load(write(t, "s.json", good), write(t, "o.hcl", "dispatch {\n skip_limit = 7\n}\nfleet {\n idle_boots = 3\n}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Core(1)
+	if c.SkipLimit != 7 || c.IdleReturn != 3 || c.WriteEvery != 2*time.Second {
+		t.Errorf("operator's settings: %+v", c.Tuning)
+	}
+	if s.Budget != 100*time.Millisecond || c.Lease != 20*time.Second || c.Teams["t"].Limit.CPUs != 4 || len(c.Peers) != 1 {
+		t.Errorf("platform's settings: budget %v, %+v", s.Budget, c)
+	}
+}
+
+// TestWrong expects one line that names file, field and reason.
+func TestWrong(t *testing.T) {
+	cases := []struct{ from, to, operator, want string }{
+		{`"node_name": "c0"`, `"node_name": ""`, "", "s.json: node_name: missing"},
+		{`"127.0.0.1:4"`, `"nowhere"`, "", `endpoints.cloud: "nowhere" is not host:port`},
+		{`"lease_s": 20`, `"lease_s": -1`, "", "facts.workers.lease_s: -1 is not above 0"},
+		{`"lease_s": 20`, `"lease_s": "x"`, "", "lease_s: want float64, not a JSON string"},
+		{`"lease_s": 20`, `"lease_s": 4`, "", "less than two reports"},
+		{`"count": 2`, `"count": 3`, "", "facts.count: 3, but others names 1"},
+		{`"name": "t"`, `"name": ""`, "", "facts.teams[0].name: missing"},
+		{`{`, ``, "", "not valid JSON"},
+		{``, ``, "dispatch {\n skip_limit = -1\n}\n", "o.hcl: dispatch.skip_limit: -1 is below 0"},
+		{``, ``, "fleet {\n idle = 1\n}\n", "o.hcl:2: Unsupported argument"},
+		{``, ``, "state {\n write_every_s = 0\n}\n", "state.write_every_s: 0 is not above 0"},
+	}
+	for _, c := range cases {
+		op := ""
+		if c.operator != "" {
+			op = write(t, "o.hcl", c.operator)
+		}
+		_, err := Load(write(t, "s.json", strings.Replace(good, c.from, c.to, 1)), op)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q -> %q: got %v, want one line with %q", c.from, c.to, err, c.want)
+		}
+	}
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -135,7 +135,7 @@
 			if t.state != model.TaskRunning {
 				begin = s.now
 			}
-			end = max(s.now, begin+time.Duration(t.job.Estimate*float64(time.Second)))
+			end = begin + time.Duration(t.job.Estimate*float64(time.Second))
 		}
 		v.Running = append(v.Running, sched.Running{Need: need, End: end})
 	}
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,109 @@
+package election
+
+import (
+	"testing"
+	"time"
+)
+
+var cfg = Config{Self: "a", Nodes: 3, KeyLife: 3 * time.Second, Promise: 3 * time.Second, Drift: 0.0005}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func TestVoterSleepsAfterStart(t *testing.T) {
+	v := NewVoter(cfg, 0)
+	if v.Grant(ms(2999), "a", 1) {
+		t.Error("a fresh process promised while a promise of its earlier life may stand")
+	}
+	if !v.Grant(ms(3100), "a", 1) {
+		t.Error("no promise after the longest one has run out")
+	}
+}
+
+func TestVoterSupportsOneAtATime(t *testing.T) {
+	v := NewVoter(cfg, -time.Hour)
+	steps := []struct {
+		at   int
+		node string
+		term uint64
+		want bool
+		why  string
+	}{
+		{0, "a", 5, true, "nothing stands against it"},
+		{100, "b", 6, false, "the promise to a still stands"},
+		{2000, "a", 5, true, "a renews"},
+		{4900, "b", 6, false, "the renewed promise still stands"},
+		{5100, "b", 6, true, "the promise has run out"},
+		{5200, "a", 5, false, "a lower term"},
+		{9000, "a", 5, false, "a lower term, even with no promise standing"},
+		{9000, "a", 6, false, "the term's candidate was b"},
+		{9000, "a", 7, true, "a higher term"},
+	}
+	for _, s := range steps {
+		if got := v.Grant(ms(s.at), s.node, s.term); got != s.want {
+			t.Errorf("at %d ms, %s for term %d: %v, want %v: %s", s.at, s.node, s.term, got, s.want, s.why)
+		}
+	}
+}
+
+func TestReleaseEndsOnlyOwnTerm(t *testing.T) {
+	v := NewVoter(cfg, -time.Hour)
+	v.Grant(0, "a", 5)
+	v.Release("b", 9)
+	v.Release("a", 4) // a late message of an earlier term
+	if v.Grant(ms(10), "b", 6) {
+		t.Fatal("a late release freed the promise")
+	}
+	v.Release("a", 5)
+	if !v.Grant(ms(20), "b", 6) {
+		t.Error("a release did not free the promise")
+	}
+}
+
+func TestTenureNeedsMajorityThenKey(t *testing.T) {
+	n := NewTenure(cfg, 7)
+	n.Promised(0, "a", 0)
+	if n.Elected(ms(10), 0) {
+		t.Fatal("elected by one of three")
+	}
+	n = NewTenure(cfg, 7)
+	n.Promised(0, "a", 0)
+	n.Promised(ms(5), "b", 0)
+	if n.Entitled(ms(6)) {
+		t.Error("entitled without the key")
+	}
+	if n.Elected(ms(3100), 0) {
+		t.Error("elected though the promises had run out when the answer came")
+	}
+}
+
+func TestEitherHoldsCarriesOn(t *testing.T) {
+	n := NewTenure(cfg, 7)
+	n.Promised(0, "a", 0)
+	n.Promised(0, "b", 0)
+	if !n.Elected(ms(10), 0) {
+		t.Fatal("not elected")
+	}
+	// A state outage: only promises are renewed.
+	for at := 1000; at < 20000; at += 1000 {
+		n.Promised(ms(at), "a", ms(at))
+		n.Promised(ms(at), "c", ms(at))
+		if !n.Entitled(ms(at + 900)) {
+			t.Fatalf("promises did not carry the leader at %d ms", at)
+		}
+	}
+	// Then only the key.
+	n.Renewed(ms(20500), ms(20400))
+	if !n.Entitled(ms(23300)) || n.Until() > ms(23400) {
+		t.Errorf("the key should carry the leader until just under 23400 ms, got %v", n.Until())
+	}
+	// A lapse is for good, though renewals come in late.
+	if n.Entitled(ms(23400)) {
+		t.Fatal("entitled past the end")
+	}
+	n.Renewed(ms(23500), ms(23450))
+	n.Promised(ms(23500), "a", ms(23450))
+	n.Promised(ms(23500), "b", ms(23450))
+	if n.Entitled(ms(23501)) {
+		t.Error("a lapsed tenure came back")
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -44,6 +44,7 @@
 	Endless  bool          // a service: runs until cancelled
 	Waiting  int           // tasks in the global queue
 	Skips    int           // times that a later task went first
+	holding  bool          // a machine is kept free for it in this round
 }
 
 // Running is a task on a machine.
@@ -171,7 +172,11 @@
 		if r.End == Never {
 			break
 		}
-		last = max(last, r.End)
+		end := r.End
+		if end < now {
+			end += 2 * (now - end) // overdue: as much again may be to come
+		}
+		last = max(last, end)
 		free = free.Add(r.Need)
 		for len(queue) > 0 && free.Fits(queue[0].Job.Need) {
 			free = free.Sub(queue[0].Job.Need)
@@ -212,6 +217,9 @@
 		}
 	}
 	r.resume = false
+	for _, j := range jobs {
+		j.holding = false
+	}
 	for i := start; i < len(jobs); i++ {
 		j := jobs[i]
 		for j.Waiting > 0 {
@@ -258,6 +266,12 @@
 
 // one sends one task of j on its way. ahead are the jobs before it.
 func (r *Round) one(now time.Duration, ahead []*Job, j *Job, machines []*Machine, env Env) bool {
+	passed := earlier(ahead, j, env)
+	for _, a := range passed {
+		if a.Skips >= r.cfg.SkipLimit && !a.holding {
+			r.hold(now, a, machines, env)
+		}
+	}
 	var hit, free, busy *Machine
 	var freeCost, busyCost = Never, Never
 	for _, m := range machines {
@@ -285,7 +299,6 @@
 			}
 		}
 	}
-	passed := earlier(ahead, j, env)
 	if hit != nil {
 		path := Hit
 		if len(passed) > 0 {
@@ -319,7 +332,7 @@
 		j.Waiting--
 		return true
 	}
-	if atLimit {
+	if atLimit && !j.holding {
 		r.hold(now, j, machines, env)
 	}
 	return false
@@ -328,6 +341,7 @@
 // hold keeps the machine that should have room soonest free for a task at its
 // skip limit, which would otherwise starve behind smaller ones.
 func (r *Round) hold(now time.Duration, j *Job, machines []*Machine, env Env) {
+	j.holding = true
 	var best *Machine
 	soonest := Never
 	for _, m := range machines {
--- /dev/null
+++ b/internal/standin/check_test.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// edit changes the orders that a node sends, whichever way they go.
+func edit(e core.Effect, f func([]model.Order) []model.Order) core.Effect {
+	switch e := e.(type) {
+	case core.Reply:
+		if b, ok := e.Body.(core.BeatReply); ok {
+			b.Orders = f(b.Orders)
+			e.Body = b
+			return e
+		}
+	case core.AgentCall:
+		e.Orders = f(e.Orders)
+		return e
+	}
+	return e
+}
+
+// answer changes what users are told.
+func answer(e core.Effect, f func(core.JobStatus) core.JobStatus) core.Effect {
+	if r, ok := e.(core.Reply); ok {
+		if st, ok := r.Body.(core.JobStatus); ok && r.Status == 200 {
+			r.Body = f(st)
+			return r
+		}
+	}
+	return e
+}
+
+// TestCheckerSeesEachRule breaks the service on purpose, once for each rule,
+// and expects the checker to say so.
+func TestCheckerSeesEachRule(t *testing.T) {
+	var seen []model.Order
+	moved := map[string]model.Order{}
+	noKills := func(o []model.Order) []model.Order {
+		kept := []model.Order{}
+		for _, x := range o {
+			if x.Verb != model.Kill {
+				kept = append(kept, x)
+			}
+		}
+		return kept
+	}
+	cases := []struct {
+		rule   string
+		tamper func(w *World, n *Node, e core.Effect) core.Effect
+		setup  func(w *World)
+	}{
+		{rule: "ran_twice", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			return edit(e, func(o []model.Order) []model.Order {
+				for _, x := range o {
+					if x.Verb == model.Start {
+						seen = append(seen, model.Order{Verb: model.Start, Task: x.Task, Attempt: x.Attempt + 1})
+					}
+				}
+				return append(noKills(o), seen...)
+			})
+		}},
+		{rule: "quota", setup: func(w *World) {
+			w.Opt.Config.Teams = map[string]core.Team{"t": {Limit: sched.Resources{CPUs: 2}}}
+		}},
+		{rule: "wrong_place", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			// Replica 1 is sent wherever replica 0 goes.
+			return edit(e, func(o []model.Order) []model.Order {
+				kept := []model.Order{}
+				for _, x := range noKills(o) {
+					if x.Verb == model.Start && strings.HasSuffix(x.Task, "/1") {
+						moved[x.Task] = x
+						continue
+					}
+					if pair, first := strings.CutSuffix(x.Task, "/0"); first && x.Verb == model.Start && w.Check.jobs[pair].spec.Tasks == 2 {
+						m, ok := moved[pair+"/1"]
+						if !ok {
+							continue // it is sent again, and by then both go
+						}
+						kept = append(kept, m)
+					}
+					kept = append(kept, x)
+				}
+				return kept
+			})
+		}, setup: func(w *World) {
+			w.At(0, func() {
+				w.Users.Submit(model.Job{ID: "req-500000", Team: "t", Class: "c", Kind: model.Service, Priority: model.Prod,
+					Tasks: 2, CPUs: 0.5, MemoryGB: 1, Image: "svc", ImageGB: 1, Spread: true}, 0)
+			})
+		}},
+		{rule: "ran_cancelled", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			return edit(e, noKills)
+		}, setup: func(w *World) {
+			w.At(20*second, func() {
+				w.Users.Submit(model.Job{ID: "req-500000", Team: "t", Class: "c", Kind: model.Service, Priority: model.Prod,
+					Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "svc", ImageGB: 1}, 0)
+			})
+			w.At(60*second, func() { w.Users.Cancel("req-500000") })
+		}},
+		{rule: "forgotten", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			if r, ok := e.(core.Reply); ok && r.Status == 200 && w.Now > 60*second {
+				if _, ok := r.Body.(core.JobStatus); ok {
+					return core.Reply{Req: r.Req, Status: 404}
+				}
+			}
+			return e
+		}},
+		{rule: "invented", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			if r, ok := e.(core.Reply); ok && r.Status == 404 {
+				return core.Reply{Req: r.Req, Status: 200, Body: core.JobStatus{}}
+			}
+			return e
+		}},
+		{rule: "not_done", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			return answer(e, func(st core.JobStatus) core.JobStatus {
+				st.Phase = model.PhaseDone
+				return st
+			})
+		}},
+		{rule: "went_back", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			return answer(e, func(st core.JobStatus) core.JobStatus {
+				if w.Now > 80*second {
+					st.Phase = model.PhaseRunning
+				}
+				return st
+			})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.rule, func(t *testing.T) {
+			seen = nil
+			opt := Defaults(3)
+			opt.Tamper = c.tamper
+			w := New(opt)
+			if c.setup != nil {
+				c.setup(w)
+			}
+			load(w, 90*second)
+			w.Run(160 * second)
+			for _, b := range w.Check.Broken {
+				if strings.Contains(b, c.rule+":") {
+					return
+				}
+			}
+			t.Errorf("the checker did not notice; it saw %v", w.Check.Broken)
+		})
+	}
+}
--- /dev/null
+++ b/internal/statestore/statestore_test.go
@@ -0,0 +1,86 @@
+package statestore
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinfall/internal/core"
+)
+
+// TestWire checks each call and answer against the protocol's own examples.
+func TestWire(t *testing.T) {
+	cases := []struct {
+		call         core.StoreCall
+		request      string // method, path and body
+		status       int
+		answer       string
+		want         core.StoreDone
+		wantItemKeys string
+	}{
+		{core.StoreCall{Op: core.StoreList, Prefix: "c/", From: "c/7", Limit: 200}, "GET /keys?after=c%2F7&page=200&under=c%2F ", 200,
+			`{"items":[{"k":"c/8","value":{"x":1},"stamp":412}],"truncated":true,"ledgerRev":431}`,
+			core.StoreDone{Status: 200, Rev: 431, More: true}, "c/8@412"},
+		{core.StoreCall{Op: core.StoreWatch, Prefix: "c/", After: 431, Block: 10 * time.Second}, "GET /watch?after=431&blockMs=10000&under=c%2F ", 200,
+			`{"ledgerRev":433,"news":[{"set":"c/9","value":{},"stamp":433},{"remove":"c/d","stamp":432}]}`,
+			core.StoreDone{Status: 200, Rev: 433}, "c/9@433 -c/d@432"},
+		{core.StoreCall{Op: core.StoreTxn, Guards: []core.Guard{{Key: "a/b"}}, Then: []core.Change{
+			{Key: "a/b", Value: json.RawMessage(`{"v":1}`), Lease: 7}, {Key: "c/d", Remove: true}}},
+			`POST /multi {"guards":[{"k":"a/b","stamp":0}],"then":[{"set":"a/b","value":{"v":1},"tether":7},{"remove":"c/d"}]}`, 409,
+			`{"failed":["a/b"],"ledgerRev":431}`, core.StoreDone{Status: 409, Rev: 431, Failed: []string{"a/b"}}, ""},
+		{core.StoreCall{Op: core.StoreGrant, Life: 5 * time.Second}, `POST /grants {"lifeMs":5000}`, 200, `{"tether":7}`, core.StoreDone{Status: 200, Lease: 7}, ""},
+		{core.StoreCall{Op: core.StoreTouch, Lease: 7}, `POST /grants/7/touch `, 404, ``, core.StoreDone{Status: 404}, ""},
+		{core.StoreCall{Op: core.StoreRevoke, Lease: 7}, `DELETE /grants/7 `, 503, `{"error":"trouble"}`, core.StoreDone{Status: 503, Err: "trouble"}, ""},
+	}
+	for _, c := range cases {
+		var got string
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			b, _ := io.ReadAll(r.Body)
+			got = r.Method + " " + r.URL.RequestURI() + " " + string(b)
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, c.answer)
+		}))
+		cl := &Client{Addr: strings.TrimPrefix(srv.URL, "http://"), HTTP: srv.Client()}
+		c.call.Timeout = 10 * time.Second
+		d := cl.Do(context.Background(), c.call)
+		srv.Close()
+		if got != c.request {
+			t.Errorf("%s: sent %s\nwant %s", c.call.Op, got, c.request)
+		}
+		var items []string
+		for _, it := range d.Items {
+			k := it.Key + "@" + json.Number(jsonInt(it.Stamp)).String()
+			if it.Removed {
+				k = "-" + k
+			}
+			items = append(items, k)
+		}
+		d.Items = nil
+		a, _ := json.Marshal(d)
+		b, _ := json.Marshal(c.want)
+		if string(a) != string(b) || strings.Join(items, " ") != c.wantItemKeys {
+			t.Errorf("%s: got %s %v\nwant %s %s", c.call.Op, a, items, b, c.wantItemKeys)
+		}
+	}
+}
+
+func jsonInt(v uint64) string { b, _ := json.Marshal(v); return string(b) }
+
+// TestNoAnswerIsUnknown: a broken answer must not pass for a refusal, since
+// the change may have been made.
+func TestNoAnswerIsUnknown(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, `{"ledgerRev":`)
+	}))
+	defer srv.Close()
+	cl := &Client{Addr: strings.TrimPrefix(srv.URL, "http://"), HTTP: srv.Client()}
+	if d := cl.Do(context.Background(), core.StoreCall{Op: core.StoreTxn, Timeout: 10 * time.Second}); d.Status != 0 {
+		t.Errorf("status %d", d.Status)
+	}
+}
