--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -111,9 +111,7 @@
 			for _, o := range w.Nodes {
 				hosts = append(hosts, o.Name)
 			}
-			for _, k := range sortedKeys(w.Workers) {
-				hosts = append(hosts, k)
-			}
+			hosts = append(hosts, sortedKeys(w.Workers)...)
 			for _, h := range hosts {
 				w.Cut(n.Name, h, "hold")
 			}
