--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -232,7 +232,7 @@
 // could serve and this one can't.
 func (s *State) keepUp() {
 	if s.now >= s.claimAt {
-		s.claim(s.ecf.Promise / 5)
+		s.claim(s.ecf.Promise / 4)
 	}
 	if s.now >= s.touchAt && !s.touching {
 		s.touch()
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -42,10 +42,12 @@
 
 // New makes the state of a controller that starts at now.
 func New(cfg Config, now time.Duration) *State {
-	// Key and promise each live for lease/3.5: a successor can follow when
-	// both are over, and the workers still have more than half of their
-	// lease to find it.
-	hold := cfg.Lease * 2 / 7
+	// Key and promise each live for a part of the workers' lease: a successor
+	// can follow when both are over, and a controller that starts anew sleeps
+	// as long before it promises anything. What is left of the lease must
+	// cover a restart of the controllers, and the workers' search for the
+	// successor.
+	hold := cfg.Lease * 3 / 16
 	ecf := election.Config{Self: cfg.Self, Nodes: len(cfg.Peers) + 1, KeyLife: hold, Promise: hold, Drift: Drift}
 	nodes := float64(ecf.Nodes)
 	s := &State{
