Join a local queue only where a roomy machine was the alternative

With no roomy machine the comparison had nothing on the other side. The design runs the dispatcher only when a machine has room.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -124,6 +124,7 @@
 			j.doneBits = make([]uint64, (j.Tasks+63)/64)
 			j.chunks = map[int]*chunk{}
 			s.active[id] = j
+			s.log(slog.LevelDebug, "job queued", "job", id, "class", j.Class, "tasks", j.Tasks, "cpus", j.CPUs, "estimate_s", j.Estimate, "image", j.Image)
 		}
 	}
 	s.dirty = true
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -327,7 +327,11 @@
 		skip(passed)
 		return true
 	}
-	if busy != nil && !atLimit {
+	// Without a roomy machine there is nothing to compare with: the dispatcher
+	// runs when a task waits and a machine has room for it. A task that took
+	// to a holder's queue then was stuck behind one estimate while machines
+	// became free elsewhere.
+	if busy != nil && free != nil && !atLimit {
 		busy.Local = append(busy.Local, Queued{Job: j, Until: now + max(busyCost, time.Second)})
 		j.Waiting--
 		return true
