Rent dear machines by spare time, keep the standing fleet, return idle ones sooner

Now ordinary machines are rented once a quarter of a job's spare time has passed; machines that nobody rented are kept.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,10 +33,12 @@
 		State string `json:"state"`
 	} `json:"endpoints"`
 	Params struct {
-		Nodes   int      `json:"count"`
-		Zones   []string `json:"zones"`
-		Teams   []Team   `json:"teams"`
-		Workers struct {
+		Nodes int      `json:"count"`
+		Zones []string `json:"zones"`
+		Teams []Team   `json:"teams"`
+		// Objectives repeat the aims on starting and finishing.
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
 			ReportS float64 `json:"report_s"`
 			LeaseS  float64 `json:"lease_s"`
 			CancelS float64 `json:"cancel_s"`
@@ -75,6 +77,15 @@
 	GPUsMax float64 `json:"gpus_max"`
 }
 
+// Objective is an aim for a class of jobs. Kinds that we don't know are
+// ignored.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Times   float64 `json:"times"`
+}
+
 // Operator is the operators' own file. Whatever it leaves out keeps its
 // default.
 type Operator struct {
@@ -98,6 +109,7 @@
 type Fleet struct {
 	IdleBoots     *float64 `hcl:"idle_boots,optional"`
 	GiveUpBoots   *float64 `hcl:"give_up_boots,optional"`
+	Patience      *float64 `hcl:"patience,optional"`
 	SpareServices *int     `hcl:"spare_services,optional"`
 	MaxMachines   *int     `hcl:"max_machines,optional"`
 }
@@ -255,6 +267,12 @@
 			}
 			s.Tuning.GiveUpBoot = *v
 		}
+		if v := f.Patience; v != nil {
+			if !(*v >= 0) || *v > 1 {
+				return bad("fleet.patience", *v, "is not within 0 and 1")
+			}
+			s.Tuning.Patience = *v
+		}
 		if v := f.SpareServices; v != nil {
 			if *v < 0 {
 				return bad("fleet.spare_services", *v, "is below 0")
@@ -281,7 +299,20 @@
 		StoreRPS: p.State.RPS, StoreWrites: p.State.WriteRPS,
 		ValueBytes: int(p.State.ValueKB * 1024), TxnOps: p.State.TxnOps,
 		CloudRPS: p.Cloud.RPS, ListLag: seconds(p.Cloud.ListLagS),
-		Tuning: s.Tuning,
+		Tuning: s.Tuning, Goals: map[string]core.Goal{},
+	}
+	for _, o := range p.Objectives {
+		g := c.Goals[o.Class]
+		within := seconds(o.WithinS)
+		switch {
+		case o.Kind == "wait" && within > 0:
+			g.Start = within
+		case o.Kind == "finished" && within > 0 && (g.Finish == 0 || within < g.Finish):
+			g.Finish = within
+		case o.Kind == "deadline" && o.Times > 0:
+			g.Due = o.Times
+		}
+		c.Goals[o.Class] = g
 	}
 	for _, o := range s.Peers {
 		c.Peers = append(c.Peers, o.Name)
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -18,6 +18,7 @@
 	listAt   time.Duration
 	planAt   time.Duration
 	renting  int
+	unsure   bool // a rental had no answer: machines may come that look like found ones
 	returnBy bool
 	// refused keeps offers that the cloud had no capacity for: not asked
 	// again before, with pauses that grow.
@@ -194,7 +195,7 @@
 			if s.now-m.hiredAt > s.bootLimit(m) {
 				hosts = append(hosts, m.host)
 			}
-		case m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
+		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
 			if s.settled && s.idleEnough(m) && idle == 0 && s.spareWithout(m) {
 				idle++ // one at a time: the spare room is counted anew
 				hosts = append(hosts, m.host)
@@ -326,7 +327,9 @@
 	var wants []fleet.Want
 	queue := s.queueForFleet()
 	for _, j := range queue {
-		wants = append(wants, s.want(j, j.waiting()))
+		w := s.want(j, j.waiting())
+		w.Patient = !s.pressing(j)
+		wants = append(wants, w)
 	}
 	if j, ok := s.serviceNeed(); ok && s.cfg.SpareServices > 0 {
 		spare := &job{Job: j.Job, tasks: map[int]*task{}}
@@ -358,6 +361,45 @@
 	}
 }
 
+// age is how long ago j was submitted.
+func (s *State) age(j *job) time.Duration {
+	if j.at == 0 || s.wall < j.at {
+		return 0
+	}
+	return time.Duration(s.wall-j.at) * time.Millisecond
+}
+
+// pressing says whether j can't wait any longer for room on the machines
+// there are, or for cheap ones: part of the time that its class leaves beyond
+// boot, fetch and run has passed.
+func (s *State) pressing(j *job) bool {
+	var within time.Duration
+	g := s.cfg.Goals[j.Class]
+	switch {
+	case j.Kind == model.Service || g.Start > 0:
+		return true
+	case g.Finish > 0:
+		within = g.Finish
+	case g.Due > 0 && j.Due != nil:
+		within = time.Duration(g.Due * *j.Due * float64(time.Second))
+	case j.Due != nil:
+		within = time.Duration(*j.Due * float64(time.Second))
+	default:
+		within = s.cfg.CancelIn
+	}
+	boot, rate := 0.0, 0.0
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if t.Fits(&j.Job) && (boot == 0 || t.BootS < boot) {
+			boot, rate = t.BootS, t.FetchRate
+		}
+	}
+	// Estimates and boot times are often exceeded by half.
+	need := 1.25*j.Estimate + 1.5*boot + j.ImageGB/max(rate, 0.001)
+	spare := within - time.Duration(need*float64(time.Second))
+	return s.age(j) >= time.Duration(s.cfg.Patience*float64(spare))
+}
+
 func (s *State) want(j *job, n int) fleet.Want {
 	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
 	if j.Spread {
@@ -446,6 +488,7 @@
 				delete(s.refused, key)
 			}
 		case 0:
+			s.unsure = true
 			if try < 3 {
 				s.rentAs(name, r, try+1)
 			}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -27,6 +27,7 @@
 	model.Job
 	phase   string // "" while active
 	arrival uint64 // revision of its acceptance: the order of the queue
+	at      int64  // time of day of its submission, ms
 	rank    int
 
 	doneBits  []uint64
@@ -120,7 +121,7 @@
 		s.jobs[id] = j
 		if v.Spec != nil {
 			j.Job = *v.Spec
-			j.arrival, j.rank = it.Stamp, model.Rank(j.Priority)
+			j.arrival, j.at, j.rank = it.Stamp, v.At, model.Rank(j.Priority)
 			j.doneBits = make([]uint64, (j.Tasks+63)/64)
 			j.chunks = map[int]*chunk{}
 			s.active[id] = j
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -50,6 +50,7 @@
 	lapsed     bool // its lease has surely run out
 	rostered   bool
 	rosterBusy bool
+	standing   bool // the operators' own, there before us: never returned for being idle
 	returning  bool
 	dead       bool          // the cloud says that it has failed
 	lastBeat   time.Duration // receipt of the last report answered with 200
@@ -76,6 +77,7 @@
 	Type     string `json:"type"`
 	Zone     string `json:"zone"`
 	Spot     bool   `json:"spot,omitempty"`
+	Standing bool   `json:"standing,omitempty"`
 }
 
 func (s *State) machine(host string) *machine {
@@ -134,7 +136,7 @@
 		return
 	}
 	m := s.machine(host)
-	m.rostered = true
+	m.rostered, m.standing = true, v.Standing
 	s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
 }
 
@@ -191,7 +193,12 @@
 		return
 	}
 	r := &e.Report
+	_, known := s.machines[r.Host]
 	m := s.machine(r.Host)
+	if !known && s.tenure.Term == 1 && !s.unsure && s.renting == 0 {
+		// Nobody rented it: it was there when the service first started.
+		m.standing = true
+	}
 	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
 	if r.Epoch>>fenceBits > s.tenure.Term {
 		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.tenure.Term)
@@ -245,7 +252,7 @@
 	}
 	m.rosterBusy = true
 	s.put(&write{
-		change: Change{Key: dirMachine + m.host, Value: raw(rosterValue{m.endpoint, m.typeName, m.zone, m.spot})},
+		change: Change{Key: dirMachine + m.host, Value: raw(rosterValue{m.endpoint, m.typeName, m.zone, m.spot, m.standing})},
 		leader: s.tenure.Term, deadline: s.now + time.Hour,
 		done: func(r outcome) { m.rosterBusy = false; s.dirty = true },
 	})
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -18,8 +18,10 @@
 	cfg Config
 	ecf election.Config
 	now time.Duration
-	out []Effect
-	rnd *rand.Rand
+	// wall is the time of day at the last tick.
+	wall int64
+	out  []Effect
+	rnd  *rand.Rand
 
 	calls map[uint64]func(any)
 	seq   uint64
@@ -85,6 +87,7 @@
 	s.out = nil
 	switch e := ev.(type) {
 	case Tick:
+		s.wall = max(s.wall, e.Wall)
 		s.tick()
 	case Submit:
 		s.submit(origin{req: e.Req}, e.Job, e.Wall)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -14,6 +14,13 @@
 	"mulleinfall/internal/sched"
 )
 
+// Goal is what is expected of the jobs of a class.
+type Goal struct {
+	Start  time.Duration // tasks should start within; 0: nothing is said
+	Finish time.Duration // jobs should be done within; 0: nothing is said
+	Due    float64       // jobs should be done within their due time this many times; 0: nothing is said
+}
+
 // Team is what a team is guaranteed and may use at most (0: no limit).
 type Team struct {
 	Guaranteed, Limit sched.Resources
@@ -25,6 +32,7 @@
 	Peers []string
 	Boot  uint64 // differs between lives of this node; seeds its random source
 	Teams map[string]Team
+	Goals map[string]Goal // by class: what its users expect
 
 	ReportEvery time.Duration
 	Lease       time.Duration
@@ -50,6 +58,7 @@
 	WriteEvery    time.Duration // bitmap writes of one job
 	IdleReturn    float64       // keep an idle machine for this many boot times
 	GiveUpBoot    float64       // give up a machine after this many boot times
+	Patience      float64       // part of a job's spare time that may pass before dearer machines are rented
 	SpareServices int           // service tasks for which room is kept free
 	MaxMachines   int           // never rent beyond this
 }
@@ -59,8 +68,9 @@
 	return Tuning{
 		SkipLimit:     25,
 		WriteEvery:    2 * time.Second,
-		IdleReturn:    2,
+		IdleReturn:    1,
 		GiveUpBoot:    4,
+		Patience:      0.25,
 		SpareServices: 2,
 		MaxMachines:   1000,
 	}
@@ -76,8 +86,9 @@
 // Effect is one thing to do: one of the types below.
 type Effect any
 
-// Tick lets time-driven work happen.
-type Tick struct{}
+// Tick lets time-driven work happen. Wall is the time of day in milliseconds;
+// it serves to tell the age of a job, never to decide who may act.
+type Tick struct{ Wall int64 }
 
 // Submit is a user's submission, checked for form by the edge. Wall is the
 // time of day in milliseconds.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,8 @@
 	Job   *model.Job
 	Need  sched.Resources
 	Count int
+	// Patient: no hurry yet, so only spot machines are rented for it.
+	Patient bool
 	// PerZone is how many more tasks of the job each zone may take; nil: any.
 	PerZone func(zone string) int
 }
@@ -79,7 +81,7 @@
 			for k := range offers {
 				o := &offers[k]
 				capacity := sched.Resources{CPUs: o.Type.CPUs, GPUs: o.Type.GPUs, MemoryGB: o.Type.MemoryGB}
-				if !fits(w, o.Type.Name, o.Zone, o.Spot) || room(o.Zone) <= 0 || !capacity.Fits(w.Need) {
+				if w.Patient && !o.Spot || !fits(w, o.Type.Name, o.Zone, o.Spot) || room(o.Zone) <= 0 || !capacity.Fits(w.Need) {
 					continue
 				}
 				// What a task costs an hour if the machine is filled as far
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,7 +114,7 @@
 	}
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
-	n.step(ctx, core.Tick{})
+	n.step(ctx, core.Tick{Wall: time.Now().UnixMilli()})
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,7 +127,7 @@
 		case ev := <-n.events:
 			n.step(ctx, ev)
 		case <-tick.C:
-			n.step(ctx, core.Tick{})
+			n.step(ctx, core.Tick{Wall: time.Now().UnixMilli()})
 		}
 	}
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -23,7 +23,7 @@
 		if w.Now >= give || t.accepted {
 			return
 		}
-		u.ask(func(req uint64) core.Event { return core.Submit{Req: req, Job: spec} }, 5*time.Second, func(r core.Reply) {
+		u.ask(func(req uint64) core.Event { return core.Submit{Req: req, Job: spec, Wall: w.Now.Milliseconds()} }, 5*time.Second, func(r core.Reply) {
 			w.Check.told(t, r)
 			if r.Status == 200 || r.Status == 201 {
 				t.accepted = true
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -239,7 +239,7 @@
 	if n.life != life || n.State == nil {
 		return
 	}
-	n.Step(core.Tick{})
+	n.Step(core.Tick{Wall: n.w.Now.Milliseconds()})
 	n.w.After(50*time.Millisecond, func() { n.tick(life) })
 }
 
