--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -318,6 +318,17 @@
 	return room >= s.cfg.SpareServices
 }
 
+// soonestBoot is the boot time of the type that is up first.
+func (s *State) soonestBoot() time.Duration {
+	boot := 0.0
+	for i := range s.typeList {
+		if b := s.typeList[i].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	return time.Duration(boot * float64(time.Second))
+}
+
 // rentMore rents for the tasks that found no room, and for the room to keep
 // free for services.
 func (s *State) rentMore() {
@@ -340,6 +351,7 @@
 		return
 	}
 	var coming []fleet.Coming
+	horizon := s.now + s.soonestBoot()
 	have := map[string]int{}
 	for _, m := range s.sortedMachines() {
 		have[m.zone]++
@@ -350,6 +362,13 @@
 		if m.up {
 			s.refreshView(m)
 			c.Free = m.view.Free
+			// Room that running work should free before a rented machine could
+			// be up is as good as a rented machine.
+			for _, r := range m.view.Running {
+				if r.End < horizon {
+					c.Free = c.Free.Add(r.Need)
+				}
+			}
 		} else {
 			c.Free = m.view.Capacity
 		}
