Draw work together on cheap machines and those that services keep

Cause (naipe troubles): services and short tasks scatter, so that hardly a machine runs empty. Ruled out: the idle time itself. Conclusion: kept, it costs nothing on the ordinary path (it orders only machines that serve equally soon).

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -124,7 +124,11 @@
 	v := &m.view
 	v.Free = v.Capacity
 	v.Running = v.Running[:0]
+	v.Stays = 0
 	for _, t := range m.tasks {
+		if t.job.Kind == model.Service && !t.killing {
+			v.Stays += t.job.CPUs
+		}
 		need := sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB}
 		v.Free = v.Free.Sub(need)
 		end := sched.Never
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -66,7 +66,8 @@
 	Images   *Cache
 	Fetching []Fetch // fetches under way
 	Local    []Queued
-	Price    float64 // orders equal choices: the cheaper first
+	Price    float64 // an hour, for all of it
+	Stays    float64 // CPUs of services on it: it can't be given back soon
 	held     bool    // kept free in this round for a task at its skip limit
 }
 
@@ -379,18 +380,26 @@
 	}
 }
 
-// better prefers the machine that j fills best, then the cheaper one.
+// better orders machines that serve j equally soon. Work is drawn together on
+// the machines that are cheapest by the CPU, then on those that services keep
+// anyway, then on the fullest, so that the others run empty and can be given
+// back.
 func better(a, b *Machine, j *Job) bool {
+	if pa, pb := a.perCPU(), b.perCPU(); math.Abs(pa-pb) > 0.2*max(pa, pb) {
+		return pa < pb
+	}
+	if sa, sb := a.Stays > 0, b.Stays > 0; sa != sb {
+		return sa
+	}
 	la, lb := leftover(a, j), leftover(b, j)
 	if math.Abs(la-lb) > slack {
 		return la < lb
 	}
-	if a.Price != b.Price {
-		return a.Price < b.Price
-	}
 	return a.ID < b.ID
 }
 
+func (m *Machine) perCPU() float64 { return m.Price / max(m.Capacity.CPUs, 1) }
+
 func leftover(m *Machine, j *Job) float64 {
 	left := 0.0
 	if m.Capacity.CPUs > 0 {
