--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -195,6 +195,8 @@
 			if s.now-m.hiredAt > s.bootLimit(m) {
 				hosts = append(hosts, m.host)
 			}
+		case m.slow && len(m.tasks) == 0 && len(m.strangers) == 0:
+			hosts = append(hosts, m.host)
 		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
 			if s.settled && s.idleEnough(m) && idle == 0 && s.spareWithout(m) {
 				idle++ // one at a time: the spare room is counted anew
@@ -355,7 +357,7 @@
 	have := map[string]int{}
 	for _, m := range s.sortedMachines() {
 		have[m.zone]++
-		if m.typ == nil || m.returning || m.dead || m.lapsed || m.recallAt != 0 {
+		if m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
 			continue
 		}
 		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -115,7 +115,7 @@
 
 // usable says whether m may be given new tasks.
 func (s *State) usable(m *machine) bool {
-	return m.adopted && m.rostered && !m.lapsed && !m.returning && m.recallAt == 0 && m.typ != nil &&
+	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && m.recallAt == 0 && m.typ != nil &&
 		s.now >= m.downUntil && s.now-m.lastBeat < 2*s.cfg.ReportEvery+s.cfg.Lease/8
 }
 
@@ -236,7 +236,7 @@
 	}
 	s.attempts++
 	t := &task{
-		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session, bound: s.now,
+		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session,
 		attempt: s.tenure.Term<<attemptBits | s.attempts,
 	}
 	j.tasks[i], m.tasks[t.name] = t, t
@@ -320,7 +320,8 @@
 				break
 			}
 			free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
-			loss += s.loss(t)
+			// What has less time to make up for it counts for more.
+			loss += s.loss(t) * float64(1+model.Rank(model.Low)-t.job.rank)
 			take = append(take, t)
 		}
 		if !free.Fits(j.entry.Need) {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -42,7 +42,8 @@
 	next    int           // tasks from here on never started in this term
 	retry   []int         // tasks to start again
 	entry   *sched.Job
-	errors  int // exits with "error" in a row
+	runs    []time.Duration // what its finished tasks took, as this leader saw
+	errors  int             // exits with "error" in a row
 	retryAt time.Duration
 }
 
@@ -77,7 +78,7 @@
 func (j *job) forgetTerm() {
 	j.tasks = map[int]*task{}
 	j.next, j.retry, j.errors, j.retryAt = 0, nil, 0, 0
-	j.entry = nil
+	j.entry, j.runs = nil, nil
 	j.finishing = false
 }
 
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -33,6 +33,7 @@
 	dirty      bool
 	nextRound  time.Duration
 	countsAt   time.Duration
+	slowAt     time.Duration
 	beatAt     time.Duration // last report answered with 200
 	round      *sched.Round
 	paths      map[sched.Path]int
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -27,7 +27,7 @@
 
 	state   string        // as last reported
 	since   time.Duration // running since
-	bound   time.Duration
+	adopted bool          // begun before this leader saw it
 	killing bool
 	grace   float64
 	killAt  time.Duration // when it was told to stop
@@ -59,6 +59,8 @@
 	recallAt   time.Duration // 0: none
 	downUntil  time.Duration // no new tasks before (refusals, errors)
 	errors     int
+	slow       bool // found slow: drained, returned and replaced
+	slowSigns  int
 
 	tasks     map[string]*task
 	strangers map[string]model.TaskReport
@@ -117,7 +119,7 @@
 	m.tasks = map[string]*task{}
 	m.strangers = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
-	m.keptFor = nil
+	m.keptFor, m.slow, m.slowSigns = nil, false, 0
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
 }
 
@@ -343,7 +345,7 @@
 	// Alive and not ours by this attempt: adopt what a former leader began,
 	// unless the job is over or the task is somewhere else.
 	if j != nil && !j.final() && i < j.Tasks && !j.isDone(i) && j.tasks[i] == nil {
-		t := &task{job: j, index: i, name: p.Task, attempt: p.Attempt, m: m, session: r.Session, issued: true, bound: s.now}
+		t := &task{job: j, index: i, name: p.Task, attempt: p.Attempt, m: m, session: r.Session, issued: true, adopted: true}
 		j.tasks[i], m.tasks[p.Task] = t, t
 		s.progress(t, p)
 		return
@@ -369,6 +371,7 @@
 	s.unbind(t, p.Cause)
 	switch p.Cause {
 	case model.CauseDone:
+		s.ran(t)
 		s.finished(j, t.index)
 		j.errors, m.errors = 0, 0
 		m.view.Images.Use(j.Image, j.ImageGB)
--- /dev/null
+++ b/internal/core/slow.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// A machine can be much slower than its type promises. Its tasks then miss
+// what the others of their job reach, and it goes on drawing work because it
+// holds their image. It is found by what its tasks took, measured by the
+// other tasks of the same jobs.
+const (
+	slowRatio   = 2.0 // twice what the others took
+	slowSamples = 3   // on this many tasks
+)
+
+// expect is how long a task of j should run: what its finished tasks took, or
+// the owner's estimate while too few have finished.
+func (j *job) expect() (time.Duration, bool) {
+	if len(j.runs) < slowSamples {
+		return time.Duration(j.Estimate * float64(time.Second)), false
+	}
+	sorted := append([]time.Duration(nil), j.runs...)
+	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
+	return sorted[len(sorted)/2], true
+}
+
+// ran notes what a finished task took. Only starts that this leader saw count.
+func (s *State) ran(t *task) {
+	if t.adopted || t.since == 0 {
+		return
+	}
+	took := s.now - t.since
+	if e, sure := t.job.expect(); sure && e > 0 {
+		t.m.judge(float64(took) / float64(e))
+	}
+	if len(t.job.runs) < 64 {
+		t.job.runs = append(t.job.runs, took)
+	}
+}
+
+// judge weighs one task's time against the time it should have taken.
+func (m *machine) judge(ratio float64) {
+	if ratio >= slowRatio {
+		m.slowSigns++
+	} else if ratio < slowRatio*0.75 {
+		m.slowSigns = 0
+	}
+}
+
+// findSlow looks for slow machines among those whose tasks overrun, and moves
+// away what would end sooner if it began anew elsewhere.
+func (s *State) findSlow() {
+	if s.now < s.slowAt {
+		return
+	}
+	s.slowAt = s.now + time.Second
+	for _, m := range s.machines {
+		if m.slow || !m.adopted {
+			continue
+		}
+		signs := m.slowSigns
+		for _, t := range m.tasks {
+			e, sure := t.job.expect()
+			if sure && t.state == model.TaskRunning && t.since > 0 && s.now-t.since > time.Duration(slowRatio*float64(e)) {
+				signs++
+			}
+		}
+		if signs < slowSamples {
+			continue
+		}
+		m.slow = true
+		s.dirty = true
+		s.log(slog.LevelInfo, "machine is slow", "host", m.host, "signs", signs, "term", s.tenure.Term)
+		for _, t := range m.tasks {
+			s.moveFromSlow(t)
+		}
+	}
+}
+
+// moveFromSlow stops t if running it anew elsewhere should be quicker than
+// the rest of its run here.
+func (s *State) moveFromSlow(t *task) {
+	if t.killing || t.job.Kind == model.Service {
+		return
+	}
+	if t.job.Checkpoint > 0 {
+		s.kill(t, t.job.SaveCost*1.25)
+		return
+	}
+	e, _ := t.job.expect()
+	whole := time.Duration(2 * slowRatio * float64(e)) // slower than slowRatio: take twice that
+	if t.state != model.TaskRunning || whole-(s.now-t.since) > e+e/4 {
+		s.kill(t, 0)
+	}
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -129,6 +129,7 @@
 	}
 	s.lapses()
 	s.recalls()
+	s.findSlow()
 	s.keepBitmaps()
 	s.reachOut()
 	s.cloudTick()
