--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -160,6 +160,7 @@
 			return
 		}
 		m = s.machine(l.Host)
+		m.standing = s.foundFirst()
 		m.hiredAt = s.now - age
 		s.describe(m, l.Endpoint, l.Type, l.Zone, l.Spot)
 		return
@@ -172,6 +173,12 @@
 	}
 }
 
+// foundFirst says whether a machine that turns up now must have been there
+// before the service first started: nobody can have rented it.
+func (s *State) foundFirst() bool {
+	return s.tenure.Term == 1 && !s.unsure && s.renting == 0
+}
+
 // giveBack returns machines that are lost, never came up, or idle.
 func (s *State) giveBack() {
 	if s.returnBy {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -85,7 +85,7 @@
 		}
 		if j.entry == nil {
 			j.entry = &sched.Job{
-				ID: j.ID, Rank: j.rank, Arrival: j.arrival,
+				ID: j.ID, Rank: queueRank(j), Arrival: j.arrival,
 				Need:  sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB},
 				Image: j.Image, ImageGB: j.ImageGB,
 				Estimate: time.Duration(j.Estimate * float64(time.Second)),
@@ -96,14 +96,23 @@
 		queue = append(queue, j)
 	}
 	sort.Slice(queue, func(a, b int) bool {
-		if queue[a].rank != queue[b].rank {
-			return queue[a].rank < queue[b].rank
+		if queue[a].entry.Rank != queue[b].entry.Rank {
+			return queue[a].entry.Rank < queue[b].entry.Rank
 		}
 		return queue[a].arrival < queue[b].arrival
 	})
 	return queue
 }
 
+// queueRank is a job's place ahead of the order of arrival: only prod work
+// goes ahead; among the rest the design's one queue by arrival holds.
+func queueRank(j *job) int {
+	if j.rank == model.Rank(model.Prod) {
+		return 0
+	}
+	return 1
+}
+
 func (s *State) sortedMachines() []*machine {
 	list := make([]*machine, 0, len(s.machines))
 	for _, m := range s.machines {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -197,9 +197,8 @@
 	r := &e.Report
 	_, known := s.machines[r.Host]
 	m := s.machine(r.Host)
-	if !known && s.tenure.Term == 1 && !s.unsure && s.renting == 0 {
-		// Nobody rented it: it was there when the service first started.
-		m.standing = true
+	if !known {
+		m.standing = s.foundFirst()
 	}
 	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
 	if r.Epoch>>fenceBits > s.tenure.Term {
