--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -21,9 +21,21 @@
 
 // ripe says whether tasks of j may start now.
 func (s *State) ripe(j *job) bool {
+	if s.now < j.retryAt {
+		return false
+	}
+	if s.settled || j.arrival > s.electedRev {
+		return true
+	}
 	// A task of an older job that no machine has shown may still be
-	// somewhere, until every machine of the roster is accounted for.
-	return (s.settled || j.arrival > s.electedRev) && s.now >= j.retryAt
+	// somewhere, until every machine of the roster that may have been given
+	// it is accounted for.
+	for _, m := range s.machines {
+		if s.unaccounted(m) && j.AllowsType(m.typeName) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot) {
+			return false
+		}
+	}
+	return true
 }
 
 // dispatch makes a round of decisions and sends what it decided.
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -20,6 +20,7 @@
 	nextBid  time.Duration
 	claimAt  time.Duration
 	touchAt  time.Duration
+	helloAt  time.Duration
 	touching bool
 	abstain  time.Duration            // no candidacy before
 	asked    map[string]time.Duration // workers that came here while another leads
@@ -46,6 +47,7 @@
 	refusedAt time.Duration
 	workers   int
 	top       uint64 // highest term that the peer knows of
+	free      bool   // has said that it counts on no promise of our earlier life
 }
 
 // Leading says whether this node may act as leader now.
@@ -115,6 +117,35 @@
 	return time.Duration((0.05 + 0.25*s.rnd.Float64()) * float64(s.ecf.Promise))
 }
 
+// hello asks the peers, after a start, to free this node from promises of an
+// earlier life. Waiting them out would cost the workers a part of their lease
+// after all controllers have crashed.
+func (s *State) hello() {
+	if s.voter.Awake(s.now) || s.now < s.helloAt {
+		return
+	}
+	s.helloAt = s.now + s.ecf.Promise/8
+	for _, p := range s.cfg.Peers {
+		if !s.peers[p].free {
+			s.emit(PeerOut{p, PeerMsg{Kind: MsgHello, Ask: s.cfg.Boot}})
+		}
+	}
+}
+
+// freed notes a peer's answer to hello.
+func (s *State) freed(p *peerState) {
+	p.free = true
+	for _, o := range s.peers {
+		if !o.free {
+			return
+		}
+	}
+	if !s.voter.Awake(s.now) {
+		s.log(slog.LevelInfo, "no promise of an earlier life is counted on")
+		s.voter.Wake()
+	}
+}
+
 // campaign keeps a leadership up or tries to win one.
 func (s *State) campaign() {
 	if s.tenure != nil && s.electedAt != 0 {
@@ -136,7 +167,7 @@
 		term = max(term, p.top)
 	}
 	term++
-	s.tenure = election.NewTenure(s.ecf, term)
+	s.tenure = election.NewTenure(s.ecf, s.now, term)
 	s.claimAt, s.grant, s.bidding = 0, 0, false
 	s.nextBid = s.now + s.ecf.Promise // candidacy ends here
 	s.bid()
@@ -187,6 +218,12 @@
 		}
 		s.bidding = false
 		if d.Status != 200 || !t.Elected(s.now, sent) {
+			s.log(slog.LevelDebug, "key not won", "term", t.Term, "status", d.Status, "failed", d.Failed)
+			if d.Status == 409 {
+				// Another was faster, or this copy of the state is not what it
+				// should be: read it anew rather than fail for ever.
+				s.loaded = false
+			}
 			s.stepDown("key not won")
 			return
 		}
@@ -324,6 +361,21 @@
 		return
 	}
 	switch m.Kind {
+	case MsgHello:
+		if s.tenure != nil && (s.electedAt != 0 || s.bidding) {
+			return // it is counted on, perhaps: let it sleep
+		}
+		if s.tenure != nil {
+			// Promises that are still on their way here die with the
+			// candidacy that asked for them.
+			s.stepDown("a supporter has started anew")
+		}
+		s.emit(PeerOut{from, PeerMsg{Kind: MsgFree, Ask: m.Ask}})
+	case MsgFree:
+		// Only an answer to this life's question counts.
+		if m.Ask == s.cfg.Boot {
+			s.freed(p)
+		}
 	case MsgClaim:
 		p.storeOK, p.heard = m.StoreOK, s.now
 		granted := true
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -508,6 +508,9 @@
 	s.checkSettled()
 }
 
+// unaccounted says whether m may run tasks that this leader hasn't seen.
+func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.lapsed }
+
 // checkSettled notes when every task of older jobs is accounted for: each
 // machine of the roster has shown all it has under this term, or is gone.
 func (s *State) checkSettled() {
@@ -515,7 +518,7 @@
 		return
 	}
 	for _, m := range s.machines {
-		if m.rostered && !m.adopted && !m.lapsed {
+		if s.unaccounted(m) {
 			return
 		}
 	}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -74,6 +74,7 @@
 func (s *State) load() {
 	s.loading = true
 	var rev uint64
+	first := true
 	seen := map[string]bool{}
 	var page func(from string)
 	page = func(from string) {
@@ -83,9 +84,11 @@
 				s.watchAt = s.now + 300*time.Millisecond
 				return
 			}
-			if rev == 0 {
-				// Changes after the first page's revision come by watch.
-				rev = max(d.Rev, 1)
+			if first {
+				// Changes after the first page's revision come by watch. An
+				// empty store is at revision 0, and its first change must not
+				// be missed.
+				first, rev = false, d.Rev
 			}
 			for _, it := range d.Items {
 				seen[it.Key] = true
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -123,6 +123,7 @@
 	s.pumpWatch()
 	s.pumpTypes()
 	s.expireAsks()
+	s.hello()
 	s.campaign()
 	if !s.Leading() {
 		return
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -285,6 +285,8 @@
 
 // Kinds of messages between controllers.
 const (
+	MsgHello   = "hello"   // a fresh process asks whether its earlier life is still counted on
+	MsgFree    = "free"    // answers that it isn't
 	MsgClaim   = "claim"   // asks for a promise
 	MsgPromise = "promise" // answers it
 	MsgRelease = "release" // gives a term up
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,8 +8,13 @@
 // then the key, created under a guard on the term. A supporter of the former
 // leader gives no promise before its own has run out, so the two majorities
 // meet in a controller for which the former leader's promise is over; and the
-// key can be created only once the former leader's lease has ended. Entitlement that has lapsed once is
-// gone for good: the term must be won anew.
+// key can be created only once the former leader's lease has ended.
+// Entitlement that has lapsed once is gone for good: the term must be won
+// anew.
+//
+// A process forgets its promises when it ends. It therefore sleeps after a
+// start until the longest of them has run out, or until every other
+// controller has said that it holds none that it counts on.
 package election
 
 import "time"
@@ -39,6 +44,10 @@
 	return &Voter{cfg: cfg, wakeAt: now + cfg.stretch(cfg.Promise)}
 }
 
+// Wake ends the sleep after a start early: every other controller has said,
+// since this process began, that it counts on no promise of an earlier life.
+func (v *Voter) Wake() { v.wakeAt = 0 }
+
 func (c Config) stretch(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*2*c.Drift) + time.Millisecond
 }
@@ -84,6 +93,7 @@
 type Tenure struct {
 	cfg     Config
 	Term    uint64
+	began   time.Duration
 	keySent time.Duration // sending of the request that last renewed the key
 	hasKey  bool
 	support map[string]time.Duration // by supporter: sending of the request
@@ -91,14 +101,16 @@
 	ended   bool
 }
 
-// NewTenure starts a candidacy for term.
-func NewTenure(cfg Config, term uint64) *Tenure {
-	return &Tenure{cfg: cfg, Term: term, support: map[string]time.Duration{}}
+// NewTenure starts a candidacy for term at now.
+func NewTenure(cfg Config, now time.Duration, term uint64) *Tenure {
+	return &Tenure{cfg: cfg, Term: term, began: now, support: map[string]time.Duration{}}
 }
 
 // Promised notes a supporter's promise; sent is when it was asked for.
 func (t *Tenure) Promised(now time.Duration, node string, sent time.Duration) {
-	if t.lapsed(now) {
+	// A promise that was asked for by an earlier candidacy doesn't count: its
+	// giver may have been told since that nobody relies on it.
+	if t.lapsed(now) || sent < t.began {
 		return
 	}
 	if old, ok := t.support[node]; !ok || sent > old {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -60,12 +60,12 @@
 }
 
 func TestTenureNeedsMajorityThenKey(t *testing.T) {
-	n := NewTenure(cfg, 7)
+	n := NewTenure(cfg, 0, 7)
 	n.Promised(0, "a", 0)
 	if n.Elected(ms(10), 0) {
 		t.Fatal("elected by one of three")
 	}
-	n = NewTenure(cfg, 7)
+	n = NewTenure(cfg, 0, 7)
 	n.Promised(0, "a", 0)
 	n.Promised(ms(5), "b", 0)
 	if n.Entitled(ms(6)) {
@@ -77,7 +77,7 @@
 }
 
 func TestEitherHoldsCarriesOn(t *testing.T) {
-	n := NewTenure(cfg, 7)
+	n := NewTenure(cfg, 0, 7)
 	n.Promised(0, "a", 0)
 	n.Promised(0, "b", 0)
 	if !n.Elected(ms(10), 0) {
@@ -107,3 +107,20 @@
 		t.Error("a lapsed tenure came back")
 	}
 }
+
+func TestPromiseOfAnEarlierCandidacyDoesNotCount(t *testing.T) {
+	n := NewTenure(cfg, ms(100), 7)
+	n.Promised(ms(110), "a", ms(100))
+	n.Promised(ms(110), "b", ms(90)) // asked for before this candidacy
+	if n.Supported(ms(120)) {
+		t.Error("a promise was counted that its giver may have been freed from")
+	}
+}
+
+func TestWakeEndsTheSleep(t *testing.T) {
+	v := NewVoter(cfg, 0)
+	v.Wake()
+	if !v.Grant(ms(10), "a", 1) {
+		t.Error("no promise after every other controller has freed this one")
+	}
+}
