--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -536,5 +536,5 @@
 		s.refused[key] = r
 	}
 	r.count++
-	r.until = s.now + s.cfg.Lease/2<<min(r.count-1, 3)
+	r.until = s.now + s.cfg.Lease/2<<min(r.count-1, 1)
 }
