--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -68,7 +68,7 @@
 	return Tuning{
 		SkipLimit:     25,
 		WriteEvery:    2 * time.Second,
-		IdleReturn:    1,
+		IdleReturn:    0.5,
 		GiveUpBoot:    4,
 		Patience:      0.25,
 		SpareServices: 2,
