Fix a team limit exceeded after a takeover; make decisions independent of map order

Now such a stranger makes its machine unusable and holds back teams with a limit until it is gone, and no task of such a team starts before all machines are accounted for. A refusal now says why.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -266,8 +266,8 @@
 	if m == nil {
 		return
 	}
-	for _, t := range m.tasks {
-		s.unbind(t, "machine returned")
+	for _, name := range ordered(m.tasks) {
+		s.unbind(m.tasks[name], "machine returned")
 	}
 	delete(s.machines, host)
 	if s.returned == nil {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -79,7 +79,8 @@
 		s.dirty = true // goes on where it stopped
 	}
 	s.makeRoom(queue, env)
-	for m := range env.touched {
+	for _, host := range ordered(env.touched) {
+		m := env.touched[host]
 		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
 			s.flush(m)
 		}
@@ -119,10 +120,7 @@
 // queueRank is a job's place ahead of the order of arrival: only prod work
 // goes ahead; among the rest the design's one queue by arrival holds.
 func queueRank(j *job) int {
-	if j.rank == model.Rank(model.Prod) {
-		return 0
-	}
-	return 1
+	return j.rank
 }
 
 func (s *State) sortedMachines() []*machine {
@@ -146,7 +144,8 @@
 	v.Free = v.Capacity
 	v.Running = v.Running[:0]
 	v.Stays = 0
-	for _, t := range m.tasks {
+	for _, name := range ordered(m.tasks) {
+		t := m.tasks[name]
 		if t.job.Kind == model.Service && !t.killing {
 			v.Stays += t.job.CPUs
 		}
@@ -165,8 +164,7 @@
 		v.Running = append(v.Running, sched.Running{Need: need, End: end})
 	}
 	for name := range m.strangers {
-		id, _, _ := model.SplitTask(name)
-		if j := s.jobs[id]; j != nil {
+		if j := s.strangerJob(name); j != nil {
 			v.Free = v.Free.Sub(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB})
 		} else {
 			v.Free = sched.Resources{} // unknown size: wait until it is gone
@@ -181,12 +179,23 @@
 	v.Fetching = kept
 }
 
+// strangerJob is the job of a task that is on a machine and shouldn't be; nil
+// where its description isn't known: a job that is over is kept without it,
+// and a leader that wasn't up before knows no more.
+func (s *State) strangerJob(task string) *job {
+	id, _, _ := model.SplitTask(task)
+	if j := s.jobs[id]; j != nil && j.Team != "" {
+		return j
+	}
+	return nil
+}
+
 // roundEnv is what the dispatch rule sees of the state.
 type roundEnv struct {
 	s       *State
 	jobs    map[*sched.Job]*job
 	views   map[*sched.Machine]*machine
-	touched map[*machine]bool
+	touched map[string]*machine
 	spent   func() bool
 }
 
@@ -229,6 +238,12 @@
 	if lim.CPUs == 0 && lim.GPUs == 0 {
 		return true
 	}
+	if !s.settled {
+		// Machines that haven't shown their tasks in this term may run more
+		// of the team's than we count: even a new job has to wait, or the
+		// team would exceed its limit together with what is unseen.
+		return false
+	}
 	var used sched.Resources
 	for _, m := range s.machines {
 		for _, t := range m.tasks {
@@ -237,8 +252,11 @@
 			}
 		}
 		for name := range m.strangers {
-			id, _, _ := model.SplitTask(name)
-			if o := s.jobs[id]; o != nil && o.Team == j.Team {
+			o := s.strangerJob(name)
+			if o == nil {
+				return false // whose it is isn't known: it may be this team's
+			}
+			if o.Team == j.Team {
 				used = used.Add(sched.Resources{CPUs: o.CPUs, GPUs: o.GPUs})
 			}
 		}
@@ -284,9 +302,9 @@
 	}
 	s.paths[path]++
 	if e.touched == nil {
-		e.touched = map[*machine]bool{}
+		e.touched = map[string]*machine{}
 	}
-	e.touched[m] = true
+	e.touched[m.host] = m
 	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.tenure.Term)
 	return true
 }
@@ -364,9 +382,9 @@
 	}
 	best.keptFor, best.keptUntil = j, s.now+s.cfg.Lease/2
 	if env.touched == nil {
-		env.touched = map[*machine]bool{}
+		env.touched = map[string]*machine{}
 	}
-	env.touched[best] = true
+	env.touched[best.host] = best
 	return true
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -236,7 +236,7 @@
 	key := dirJobs + j.ID
 	value := raw(jobValue{Phase: model.PhaseDone, Tasks: j.Tasks})
 	var extra []Change
-	for n := range j.chunks {
+	for _, n := range ordered(j.chunks) {
 		k := dirProgress + j.ID + "/" + strconv.Itoa(n)
 		if s.stamp(k) != 0 && len(extra) < s.cfg.TxnOps-1 {
 			extra = append(extra, Change{Key: k, Remove: true})
@@ -255,12 +255,14 @@
 
 // keepBitmaps writes what has finished, each job at most every few seconds.
 func (s *State) keepBitmaps() {
-	for _, j := range s.active {
+	for _, id := range ordered(s.active) {
+		j := s.active[id]
 		if j.doneCount == j.Tasks {
 			s.finishJob(j)
 			continue
 		}
-		for n, c := range j.chunks {
+		for _, n := range ordered(j.chunks) {
+			c := j.chunks[n]
 			if !c.dirty || c.writing || s.now < c.at+s.cfg.WriteEvery {
 				continue
 			}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -378,13 +378,14 @@
 		}
 	case MsgClaim:
 		p.storeOK, p.heard = m.StoreOK, s.now
-		granted := true
+		cut := false
 		if m.StoreAge > s.storeGap() && s.storeAge() < s.storeGap()/2 && s.contact-s.okSince > s.storeGap()/2 {
 			// The claimant has lost the state service and this node has not.
-			granted = false
+			cut = true
+			s.log(slog.LevelInfo, "refusing support to a leader without the state service", "leader", from, "term", m.Term, "its_age", m.StoreAge, "own_age", s.storeAge())
 		}
-		granted = granted && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
-		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted,
+		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
+		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
 			StoreOK: s.storeOK(), Workers: s.askers(), Top: max(s.term, s.voter.Top())}})
 	case MsgPromise:
 		p.storeOK, p.heard, p.workers, p.top = m.StoreOK, s.now, m.Workers, m.Top
@@ -396,7 +397,9 @@
 			if s.electedAt == 0 {
 				s.bid()
 			}
-		} else {
+		} else if m.Cut {
+			// Only this kind of refusal: a peer that is bound to another for
+			// a while says nothing about the state service.
 			p.refusedAt = s.now
 		}
 	case MsgRelease:
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"mulleinfall/internal/model"
@@ -157,7 +159,8 @@
 		m.forgetTerm()
 		m.lastBeat, m.idleSince, m.hiredAt = s.electedAt, s.now, s.now
 	}
-	for _, j := range s.active {
+	for _, id := range ordered(s.active) {
+		j := s.active[id]
 		j.forgetTerm()
 		if j.doneCount == j.Tasks {
 			s.finishJob(j)
@@ -263,7 +266,8 @@
 // a direct command. The caller has checked that it isn't older than the last.
 func (s *State) report(m *machine, r *model.Report, own bool) {
 	if r.Session > m.session {
-		for _, t := range m.tasks {
+		for _, name := range ordered(m.tasks) {
+			t := m.tasks[name]
 			if m.session != 0 && t.session < r.Session {
 				// The worker's lease had run out: it killed all it had.
 				s.unbind(t, "new session")
@@ -292,7 +296,8 @@
 		listed[p.Task] = true
 		s.piece(m, p, r)
 	}
-	for name, t := range m.tasks {
+	for _, name := range ordered(m.tasks) {
+		t := m.tasks[name]
 		if listed[name] {
 			continue
 		}
@@ -463,15 +468,16 @@
 			}
 		}
 	}
-	for name, p := range m.strangers {
+	for _, name := range ordered(m.strangers) {
 		if len(orders) < most {
-			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: p.Attempt, Grace: new(float64)})
+			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: m.strangers[name].Attempt, Grace: new(float64)})
 		}
 	}
-	for name, t := range m.tasks {
+	for _, name := range ordered(m.tasks) {
 		if len(orders) >= most {
 			break
 		}
+		t := m.tasks[name]
 		p, shown := listed[name]
 		shown = shown && p.Attempt == t.attempt
 		switch {
@@ -492,14 +498,14 @@
 
 // lapses unbinds what was on machines whose lease has surely run out.
 func (s *State) lapses() {
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines() {
 		if m.lapsed || !m.rostered || s.now < s.leaseEnd(m) {
 			continue
 		}
 		m.lapsed, m.adopted = true, false
 		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.tenure.Term, "tasks", len(m.tasks))
-		for _, t := range m.tasks {
-			s.unbind(t, "lease ran out")
+		for _, name := range ordered(m.tasks) {
+			s.unbind(m.tasks[name], "lease ran out")
 		}
 		clear(m.strangers)
 		m.view.Local = nil
@@ -547,7 +553,7 @@
 	if !s.Leading() {
 		return
 	}
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines() {
 		if m.direct || m.endpoint == "" || s.now < m.directAt || m.returning {
 			continue
 		}
@@ -563,9 +569,16 @@
 
 // flush sends m's unsent starts and stops directly.
 func (s *State) flush(m *machine) {
+	var open []*task
+	for _, t := range m.tasks {
+		if !t.issued || t.killing {
+			open = append(open, t)
+		}
+	}
+	slices.SortFunc(open, func(a, b *task) int { return strings.Compare(a.name, b.name) })
 	var orders []model.Order
 	var starts []*task
-	for _, t := range m.tasks {
+	for _, t := range open {
 		if len(orders) >= 100 {
 			break
 		}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -99,7 +99,7 @@
 				return
 			}
 			// What a gap in the watch has hidden: keys that are gone.
-			for k := range s.stamps {
+			for _, k := range ordered(s.stamps) {
 				if !seen[k] && !s.removed[k] && s.stamps[k] <= rev {
 					s.apply(Item{Key: k, Stamp: rev, Removed: true})
 				}
--- a/internal/core/slow.go
+++ b/internal/core/slow.go
@@ -58,7 +58,7 @@
 		return
 	}
 	s.slowAt = s.now + time.Second
-	for _, m := range s.machines {
+	for _, m := range s.sortedMachines() {
 		if m.slow || !m.adopted {
 			continue
 		}
@@ -75,8 +75,8 @@
 		m.slow = true
 		s.dirty = true
 		s.log(slog.LevelInfo, "machine is slow", "host", m.host, "signs", signs, "term", s.tenure.Term)
-		for _, t := range m.tasks {
-			s.moveFromSlow(t)
+		for _, name := range ordered(m.tasks) {
+			s.moveFromSlow(m.tasks[name])
 		}
 	}
 }
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -186,3 +188,14 @@
 	}
 	return b
 }
+
+// ordered gives a map's keys in order: what is decided must not hang on the
+// order of a map, or a trace would not replay.
+func ordered[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -303,6 +303,7 @@
 	Term     uint64         `msgpack:"t,omitempty"`
 	Sent     time.Duration  `msgpack:"s,omitempty"`
 	Granted  bool           `msgpack:"g,omitempty"`
+	Cut      bool           `msgpack:"x,omitempty"` // refused: the claimant has lost the state service
 	StoreOK  bool           `msgpack:"o,omitempty"`
 	StoreAge time.Duration  `msgpack:"a,omitempty"`
 	Workers  int            `msgpack:"w,omitempty"`
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -281,7 +281,8 @@
 }
 
 func (s *State) expireAsks() {
-	for id, a := range s.asks {
+	for _, id := range ordered(s.asks) {
+		a := s.asks[id]
 		if s.now >= a.until {
 			delete(s.asks, id)
 			s.later(a.from, "no answer from a peer")
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -60,11 +60,6 @@
 	if node != v.node && now < v.until {
 		return false
 	}
-	// One term has one candidate per voter: a second one must ask for a
-	// higher term, or two could each count this voter.
-	if term == v.top && node != v.node {
-		return false
-	}
 	v.node, v.term, v.top = node, term, term
 	v.until = now + v.cfg.stretch(v.cfg.Promise)
 	return true
