--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,8 +48,8 @@
 
 func (wk *Worker) stop() {
 	wk.dead = true
-	for name, r := range wk.tasks {
-		wk.w.Check.off(name, wk, r)
+	for _, name := range sortedKeys(wk.tasks) {
+		wk.w.Check.off(name, wk, wk.tasks[name])
 	}
 	wk.tasks = map[string]*run{}
 	delete(wk.w.Workers, wk.info.Endpoint)
@@ -96,8 +96,8 @@
 		return
 	}
 	wk.w.tell("machine %s: lease ran out", wk.info.Host)
-	for name, r := range wk.tasks {
-		wk.w.Check.off(name, wk, r)
+	for _, name := range sortedKeys(wk.tasks) {
+		wk.w.Check.off(name, wk, wk.tasks[name])
 	}
 	wk.tasks = map[string]*run{}
 	wk.session++
