--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -176,7 +176,7 @@
 // foundFirst says whether a machine that turns up now must have been there
 // before the service first started: nobody can have rented it.
 func (s *State) foundFirst() bool {
-	return s.tenure.Term == 1 && !s.unsure && s.renting == 0
+	return s.firstTerm && !s.unsure
 }
 
 // giveBack returns machines that are lost, never came up, or idle.
@@ -508,6 +508,7 @@
 				if !m.up {
 					m.hiredAt = s.now
 				}
+				m.standing = false // up before the answer that names it
 				s.describe(m, "", r.Type, r.Zone, r.Spot)
 			}
 			if len(d.Hosts) < min(r.Count, 50) {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -27,6 +27,7 @@
 
 	electedAt  time.Duration
 	electedRev uint64
+	firstTerm  bool // nobody has led, and so rented, before this term
 	ready      bool // the replica has caught up with the election
 	settled    bool // every task of older jobs is accounted for
 	attempts   uint64
@@ -228,6 +229,7 @@
 			return
 		}
 		// Before the term is applied: else it would look won by another.
+		s.firstTerm = s.termStamp == 0 // nobody has led before
 		s.electedAt, s.electedRev = s.now, d.Rev
 		s.apply(Item{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term}), Stamp: d.Rev})
 		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
