--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -79,6 +79,7 @@
 		s.dirty = true // goes on where it stopped
 	}
 	s.makeRoom(queue, env)
+	s.drainFor(queue, env)
 	for _, host := range ordered(env.touched) {
 		m := env.touched[host]
 		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
@@ -208,7 +209,7 @@
 // allowed checks type, zone, kind and the job's other tasks, counting every
 // task that may still be somewhere.
 func (s *State) allowed(j *job, m *machine) bool {
-	if m.keptFor != nil && m.keptFor != j && s.now < m.keptUntil {
+	if m.keptFor != nil && m.keptFor != j && s.now < m.keptUntil && (!m.draining || j.rank != model.Rank(model.Prod)) {
 		return false
 	}
 	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
@@ -317,7 +318,7 @@
 		}
 		n := j.entry.Waiting
 		for _, m := range s.machines {
-			if m.keptFor == j && s.now < m.keptUntil {
+			if m.keptFor == j && !m.draining && s.now < m.keptUntil {
 				n-- // room is being made already
 			}
 		}
@@ -329,6 +330,45 @@
 	}
 }
 
+// drainFor keeps a few machines from being refilled bit by bit while jobs wait
+// whose tasks need more room than any machine has left: those that should have
+// that room first.
+func (s *State) drainFor(queue []*job, env *roundEnv) {
+	left := 1 + len(env.views)/16
+	for _, m := range env.views {
+		if m.draining && m.keptFor != nil && (m.keptFor.entry == nil || m.keptFor.entry.Waiting == 0) {
+			m.keptFor = nil // placed elsewhere, or over
+		}
+	}
+	for _, j := range queue {
+		if left == 0 || j.entry.Waiting == 0 || j.rank == model.Rank(model.Prod) || !s.underLimit(j) {
+			continue
+		}
+		var best *machine
+		soonest := sched.Never
+		for _, m := range s.sortedMachines() {
+			if env.views[&m.view] == nil || !m.view.Capacity.Fits(j.entry.Need) {
+				continue
+			}
+			if m.draining && m.keptFor == j && s.now < m.keptUntil {
+				best, soonest = m, 0 // begun: stay with it
+				break
+			}
+			if !s.allowed(j, m) {
+				continue
+			}
+			if w := m.view.Wait(s.now, j.entry); w < soonest {
+				best, soonest = m, w
+			}
+		}
+		if best == nil {
+			continue
+		}
+		left--
+		best.keptFor, best.draining, best.keptUntil = j, true, s.now+s.cfg.ReportEvery
+	}
+}
+
 // preemptFor stops the least work, by what would be lost, that makes room for
 // one task of j on one machine.
 func (s *State) preemptFor(j *job, env *roundEnv) bool {
@@ -380,7 +420,7 @@
 		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", best.host, "for", j.ID, "term", s.tenure.Term)
 		s.kill(t, 0)
 	}
-	best.keptFor, best.keptUntil = j, s.now+s.cfg.Lease/2
+	best.keptFor, best.draining, best.keptUntil = j, false, s.now+s.cfg.Lease/2
 	if env.touched == nil {
 		env.touched = map[string]*machine{}
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -72,6 +72,7 @@
 	doubt     uint64        // epoch of a direct command without an answer
 	keptFor   *job          // room made by preemption is kept for this job
 	keptUntil time.Duration
+	draining  bool // kept for a job that waits for its tasks to end, not for preempted ones
 }
 
 // rosterValue is a machine in the state service: written before the machine
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -154,9 +154,9 @@
 // holds says whether j's image is on m or on its way there.
 func (m *Machine) holds(j *Job) bool { return m.Images.Has(j.Image) || m.fetches(j.Image) }
 
-// wait estimates how long until m has room for one more task of j behind its
+// Wait estimates how long until m has room for one more task of j behind its
 // local queue.
-func (m *Machine) wait(now time.Duration, j *Job) time.Duration {
+func (m *Machine) Wait(now time.Duration, j *Job) time.Duration {
 	need := j.Need
 	for _, q := range m.Local {
 		need = need.Add(q.Job.Need)
@@ -293,7 +293,7 @@
 			continue
 		}
 		if m.holds(j) {
-			if w := m.wait(now, j); w < Never {
+			if w := m.Wait(now, j); w < Never {
 				if cost := max(w, m.fetchTime(now, j)); cost < busyCost {
 					busy, busyCost = m, cost
 				}
@@ -353,7 +353,7 @@
 		if m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
 			continue
 		}
-		if w := m.wait(now, j); w < soonest {
+		if w := m.Wait(now, j); w < soonest {
 			best, soonest = m, w
 		}
 	}
