--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -22,8 +22,7 @@
 	touchAt  time.Duration
 	helloAt  time.Duration
 	touching bool
-	abstain  time.Duration            // no candidacy before
-	asked    map[string]time.Duration // workers that came here while another leads
+	abstain  time.Duration // no candidacy before
 
 	electedAt  time.Duration
 	electedRev uint64
@@ -46,7 +45,6 @@
 	storeOK   bool
 	heard     time.Duration
 	refusedAt time.Duration
-	workers   int
 	top       uint64 // highest term that the peer knows of
 	free      bool   // has said that it counts on no promise of our earlier life
 }
@@ -291,15 +289,36 @@
 			}
 		}
 	}
-	if s.now-max(s.beatAt, s.electedAt) > s.cfg.Lease/3 {
-		for _, p := range s.peers {
-			if p.workers > 0 && s.now-p.heard < s.ecf.Promise/2 {
-				s.abstain = s.now + s.cfg.Lease
-				s.stepDown("no worker reaches this node but others do")
-				return
-			}
+	if s.cutFromWorkers() {
+		s.abstain = s.now + s.cfg.Lease
+		s.stepDown("no worker reaches this node")
+	}
+}
+
+// cutFromWorkers says whether reports have stopped coming though machines
+// should be there. A worker waits 4 s for an answer and then 1 s more before
+// it turns to the next node, so there is no time to wait until one has
+// complained elsewhere: with a peer at hand the term is given up, and a
+// successor stands ready when they come. If it is the machines that are gone,
+// they lapse and nothing further happens.
+func (s *State) cutFromWorkers() bool {
+	quiet := s.cfg.Lease / 3
+	if s.now-s.beatAt < quiet || s.now-s.electedAt < 2*quiet {
+		return false
+	}
+	there := false
+	for _, m := range s.machines {
+		there = there || m.adopted
+	}
+	if !there {
+		return false
+	}
+	for _, p := range s.peers {
+		if p.storeOK && s.now-p.heard < s.ecf.Promise/2 {
+			return true
 		}
 	}
+	return false
 }
 
 func (s *State) touch() {
@@ -388,9 +407,9 @@
 		}
 		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
 		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
-			StoreOK: s.storeOK(), Workers: s.askers(), Top: max(s.term, s.voter.Top())}})
+			StoreOK: s.storeOK(), Top: max(s.term, s.voter.Top())}})
 	case MsgPromise:
-		p.storeOK, p.heard, p.workers, p.top = m.StoreOK, s.now, m.Workers, m.Top
+		p.storeOK, p.heard, p.top = m.StoreOK, s.now, m.Top
 		if s.tenure == nil || s.tenure.Term != m.Term {
 			return
 		}
@@ -421,19 +440,6 @@
 	}
 }
 
-// askers counts the workers that have come here lately, though another leads.
-func (s *State) askers() int {
-	n := 0
-	for host, at := range s.asked {
-		if s.now-at < s.cfg.Lease/4 {
-			n++
-		} else {
-			delete(s.asked, host)
-		}
-	}
-	return n
-}
-
 // leaderName is the node that leads as far as this one knows.
 func (s *State) leaderName() string {
 	if s.tenure != nil && s.electedAt != 0 {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -183,18 +183,11 @@
 // beat takes a worker's report.
 func (s *State) beat(e Beat) {
 	if !s.Leading() {
-		r := &e.Report
 		if s.tenure != nil && s.electedAt != 0 {
 			// Not caught up yet: neither a 200 nor a redirect.
 			s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"not ready to lead"}})
 			return
 		}
-		if s.asked == nil {
-			s.asked = map[string]time.Duration{}
-		}
-		if len(s.asked) < 10000 {
-			s.asked[r.Host] = s.now
-		}
 		s.emit(Reply{Req: e.Req, Status: 421, Body: Redirect{s.leaderName()}})
 		return
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -306,7 +306,6 @@
 	Cut      bool           `msgpack:"x,omitempty"` // refused: the claimant has lost the state service
 	StoreOK  bool           `msgpack:"o,omitempty"`
 	StoreAge time.Duration  `msgpack:"a,omitempty"`
-	Workers  int            `msgpack:"w,omitempty"`
 	Top      uint64         `msgpack:"p,omitempty"`
 	Key      string         `msgpack:"key,omitempty"`
 	Value    []byte         `msgpack:"val,omitempty"`
