--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -45,8 +45,10 @@
 	storeOK   bool
 	heard     time.Duration
 	refusedAt time.Duration
-	top       uint64 // highest term that the peer knows of
-	free      bool   // has said that it counts on no promise of our earlier life
+
+	refusedTerm uint64
+	top         uint64 // highest term that the peer knows of
+	free        bool   // has said that it counts on no promise of our earlier life
 }
 
 // Leading says whether this node may act as leader now.
@@ -254,6 +256,21 @@
 	})
 }
 
+// outvoted ends a candidacy that can't get a majority any more, so that its
+// own promise to itself doesn't stand in another's way.
+func (s *State) outvoted(p *peerState) {
+	p.refusedTerm = s.tenure.Term
+	left := s.ecf.Nodes
+	for _, o := range s.peers {
+		if o.refusedTerm == s.tenure.Term {
+			left--
+		}
+	}
+	if left < s.ecf.Nodes/2+1 {
+		s.stepDown("refused by the others")
+	}
+}
+
 // claim asks the peers for promises, as candidate or leader.
 func (s *State) claim(every time.Duration) {
 	s.claimAt = s.now + every
@@ -422,6 +439,8 @@
 			// Only this kind of refusal: a peer that is bound to another for
 			// a while says nothing about the state service.
 			p.refusedAt = s.now
+		} else if s.electedAt == 0 && !s.bidding {
+			s.outvoted(p)
 		}
 	case MsgRelease:
 		s.voter.Release(from, m.Term)
