Return a deaf machine that carries services after half a lease

Ruled out: leadership (steady then). A machine with services that neither reports nor answers for half a lease, while nine tenths of the others do, is returned; the cloud's 200 unbinds its tasks.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -55,6 +55,7 @@
 	standing   bool // the operators' own, there before us: never returned for being idle
 	returning  bool
 	dead       bool          // the cloud says that it has failed
+	heard      time.Duration // last report of any kind
 	lastBeat   time.Duration // receipt of the last report answered with 200
 	hiredAt    time.Duration
 	idleSince  time.Duration
@@ -270,6 +271,7 @@
 		m.session = r.Session
 		m.lapsed = false
 	}
+	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
 	m.up = true
 	if r.Epoch >= s.epochBase() && !m.adopted && !m.lapsed {
@@ -557,10 +559,42 @@
 			}
 			continue
 		}
+		if s.now-m.heard > 2*s.cfg.ReportEvery {
+			s.command(m, nil, nil) // is it there at all?
+			continue
+		}
 		s.flush(m)
 	}
 }
 
+// deaf says whether m is given up before its lease is over: it carries
+// services, neither reports nor answers, and nearly all others do, so that it
+// is the machine and not this node that is out of reach. Waiting for the lease
+// would keep the services down for longer than returning it.
+func (s *State) deaf(m *machine) bool {
+	quiet := s.cfg.Lease / 2
+	if !m.adopted || s.now-m.heard < quiet || s.now-s.electedAt < s.cfg.Lease {
+		return false
+	}
+	services := false
+	for _, t := range m.tasks {
+		services = services || t.job.Kind == model.Service && t.job.rank == 0
+	}
+	if !services {
+		return false
+	}
+	there, well := 0, 0
+	for _, o := range s.machines {
+		if o.adopted && o != m {
+			there++
+			if s.now-o.heard < 2*s.cfg.ReportEvery {
+				well++
+			}
+		}
+	}
+	return there > 0 && well*10 >= there*9
+}
+
 // flush sends m's unsent starts and stops directly.
 func (s *State) flush(m *machine) {
 	var open []*task
