Give guarantees back by preemption; return machines that hold withdrawn tasks

What was missing: a team within its guarantee had to wait for a team that borrows, and a machine on which a stop doesn't take effect could keep a withdrawn task past cancel_s. Tests: TestGuaranteeIsGivenBack, TestEqualsAreNotPreempted, TestProdPreemptsLeastLoss; the checker's ran_cancelled case had to break the return as well.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -191,7 +191,7 @@
 			break
 		}
 		switch {
-		case m.returning, m.dead, s.deaf(m):
+		case m.returning, m.dead, s.deaf(m), s.overdue(m):
 			hosts = append(hosts, m.host)
 		case m.lapsed:
 			// Not while nobody reports: then it is rather us who are cut off.
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -310,10 +310,12 @@
 	return true
 }
 
-// makeRoom stops work of lower priority for services that find no room.
+// makeRoom stops work of lower priority for prod work that finds no room, and
+// work that other teams run beyond their guarantee for a team within its own.
 func (s *State) makeRoom(queue []*job, env *roundEnv) {
+	used := s.teamUse()
 	for _, j := range queue {
-		if j.rank != model.Rank(model.Prod) {
+		if j.rank != model.Rank(model.Prod) && !s.guaranteed(j, used) {
 			continue
 		}
 		n := j.entry.Waiting
@@ -323,13 +325,47 @@
 			}
 		}
 		for ; n > 0 && s.underLimit(j); n-- {
-			if !s.preemptFor(j, env) {
+			if !s.preemptFor(j, env, used) {
 				break
 			}
+			used[j.Team] = used[j.Team].Add(j.entry.Need)
 		}
 	}
 }
 
+// teamUse is what each team's tasks take now.
+func (s *State) teamUse() map[string]sched.Resources {
+	used := map[string]sched.Resources{}
+	for _, m := range s.machines {
+		for _, t := range m.tasks {
+			if !t.killing {
+				used[t.job.Team] = used[t.job.Team].Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+			}
+		}
+	}
+	return used
+}
+
+// guaranteed says whether one more task of j is within its team's guarantee.
+func (s *State) guaranteed(j *job, used map[string]sched.Resources) bool {
+	g := s.cfg.Teams[j.Team].Guaranteed
+	g.MemoryGB = j.MemoryGB // guarantees are given in CPUs and GPUs
+	return (g.CPUs > 0 || g.GPUs > 0) && g.Fits(used[j.Team].Add(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs}))
+}
+
+// mayStop says whether t may be stopped to make room for j.
+func (s *State) mayStop(t *task, j *job, used map[string]sched.Resources) bool {
+	if t.killing {
+		return false
+	}
+	if t.job.rank > j.rank {
+		return true
+	}
+	g, u := s.cfg.Teams[t.job.Team].Guaranteed, used[t.job.Team]
+	beyond := u.CPUs-t.job.CPUs > g.CPUs-1e-6 && u.GPUs-t.job.GPUs > g.GPUs-1e-6
+	return t.job.Team != j.Team && s.guaranteed(j, used) && beyond
+}
+
 // drainFor keeps a few machines from being refilled bit by bit while jobs wait
 // whose tasks need more room than any machine has left: those that should have
 // that room first.
@@ -371,7 +407,7 @@
 
 // preemptFor stops the least work, by what would be lost, that makes room for
 // one task of j on one machine.
-func (s *State) preemptFor(j *job, env *roundEnv) bool {
+func (s *State) preemptFor(j *job, env *roundEnv, used map[string]sched.Resources) bool {
 	var best *machine
 	var victims []*task
 	bestLoss := 0.0
@@ -382,7 +418,7 @@
 		free := m.view.Free
 		var cand []*task
 		for _, t := range m.tasks {
-			if t.job.rank > j.rank && !t.killing {
+			if s.mayStop(t, j, used) {
 				cand = append(cand, t)
 			} else if t.killing {
 				free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
@@ -418,6 +454,7 @@
 	}
 	for _, t := range victims {
 		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", best.host, "for", j.ID, "term", s.tenure.Term)
+		used[t.job.Team] = used[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
 		s.kill(t, 0)
 	}
 	best.keptFor, best.draining, best.keptUntil = j, false, s.now+s.cfg.Lease/2
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -33,7 +33,8 @@
 	doneBits  []uint64
 	doneCount int
 	chunks    map[int]*chunk
-	finishing bool // the write of "done" is under way
+	overAt    time.Duration // when it was seen to be over
+	finishing bool          // the write of "done" is under way
 
 	running int // as the leader last told, for display
 
@@ -131,7 +132,7 @@
 	}
 	s.dirty = true
 	if v.Phase != "" && j.phase == "" {
-		j.phase = v.Phase
+		j.phase, j.overAt = v.Phase, s.now
 		delete(s.active, id)
 		s.log(slog.LevelInfo, "job over", "job", id, "phase", v.Phase)
 		if s.tenure != nil && s.electedAt != 0 {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -528,6 +528,28 @@
 	s.log(slog.LevelInfo, "all machines accounted for", "term", s.tenure.Term)
 }
 
+// overdue gives up machines on which tasks of a withdrawn job are still to be
+// seen when most of the time allowed for that has passed: whatever holds the
+// stop up, returning the machine ends them.
+func (s *State) overdue(m *machine) bool {
+	limit := s.cfg.CancelIn * 3 / 5
+	late := func(j *job) bool {
+		return j != nil && j.phase == model.PhaseAborted && s.now-max(j.overAt, s.electedAt) > limit
+	}
+	for _, t := range m.tasks {
+		if late(t.job) {
+			return true
+		}
+	}
+	for name := range m.strangers {
+		id, _, _ := model.SplitTask(name)
+		if late(s.jobs[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 // recalls clears machines that the cloud is about to take.
 func (s *State) recalls() {
 	for _, m := range s.machines {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -95,6 +95,10 @@
 			})
 		}},
 		{rule: "ran_cancelled", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			if c, ok := e.(core.CloudCall); ok && c.Op == core.CloudReturn {
+				c.Hosts = nil // else the machine is returned before the time is up
+				return c
+			}
 			return edit(e, noKills)
 		}, setup: func(w *World) {
 			w.At(20*second, func() {
--- /dev/null
+++ b/internal/standin/teams_test.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"testing"
+
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// TestGuaranteeIsGivenBack: a team that borrows all machines has to give back
+// what another team's guarantee needs, though the priorities are equal.
+func TestGuaranteeIsGivenBack(t *testing.T) {
+	opt := Defaults(4)
+	opt.Capacity = 1 // three machines of 4 CPUs, and three spot ones that nobody may use
+	opt.Config.Teams["own"] = core.Team{Guaranteed: sched.Resources{CPUs: 4}}
+	w := New(opt)
+	big := batch("req-000001", 12)
+	w.At(second, func() { w.Users.Submit(big, 200*second) })
+	small := batch("req-000002", 4)
+	small.Team = "own"
+	w.At(60*second, func() { w.Users.Submit(small, 10*second) })
+	w.Run(100 * second)
+	if n := len(w.Check.jobs["req-000002"].done); n != 4 {
+		t.Errorf("%d of 4 tasks within the guarantee are done after 40 s", n)
+	}
+	if n := len(w.Check.jobs["req-000001"].on); n < 8 {
+		t.Errorf("the borrower has %d tasks left, want the 8 that nobody claims", n)
+	}
+}
+
+// TestEqualsAreNotPreempted: without a guarantee, work doesn't stop work of
+// its own priority.
+func TestEqualsAreNotPreempted(t *testing.T) {
+	opt := Defaults(4)
+	opt.Capacity = 1
+	w := New(opt)
+	w.At(second, func() { w.Users.Submit(batch("req-000001", 12), 200*second) })
+	other := batch("req-000002", 4)
+	other.Team = "tight"
+	w.At(60*second, func() { w.Users.Submit(other, 10*second) })
+	w.Run(100 * second)
+	if n := len(w.Check.jobs["req-000001"].on); n != 12 {
+		t.Errorf("%d of 12 tasks run on", n)
+	}
+}
+
+// TestProdPreemptsLeastLoss: a replica that finds no room stops lower work,
+// and only as much as it needs.
+func TestProdPreemptsLeastLoss(t *testing.T) {
+	opt := Defaults(4)
+	opt.Capacity = 1
+	w := New(opt)
+	low := batch("req-000001", 12)
+	low.Priority = model.Low
+	w.At(second, func() { w.Users.Submit(low, 200*second) })
+	w.At(60*second, func() { w.Users.Submit(service("req-000002", 1), 0) })
+	w.Run(75 * second)
+	if w.host("req-000002/0") == nil {
+		t.Error("the replica does not run 15 s later")
+	}
+	if n := len(w.Check.jobs["req-000001"].on); n != 10 {
+		t.Errorf("%d low tasks left of 12, want 10", n)
+	}
+}
