Pass a request on to a peer as soon as the state service fails it here

Cause: a node refused by the state service alone told its users 503 for the first 2-3 s, until its silence counted as a cut. The guarded change is the same from any node.

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -77,14 +77,16 @@
 	if why := s.impossible(&spec); why != "" {
 		// Only for a job that isn't known: an accepted one must not be
 		// refused later, whatever the settings say by then.
-		s.ifUnknown(o, spec.ID, func() { s.answer(o, 422, Problem{why}, 0) })
+		s.ifUnknown(o, spec.ID,
+			func() { s.answer(o, 422, Problem{why}, 0) },
+			func() bool { return s.passOn(o, "submit", spec.ID, raw(spec), wall) })
 		return
 	}
 	if len(s.queue) > maxWrites {
 		s.later(o, "too many submissions under way")
 		return
 	}
-	if s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+	if s.storeAge() > s.storeGap() && s.passOn(o, "submit", spec.ID, raw(spec), wall) {
 		return
 	}
 	if !s.loaded || s.storeAge() > 2*s.storeGap() {
@@ -113,21 +115,24 @@
 				}
 				s.later(o, "try again")
 			default:
-				s.later(o, "the state service does not answer")
+				if !s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+					s.later(o, "the state service does not answer")
+				}
 			}
 		},
 	})
 }
 
 // ifUnknown calls f if no such job was accepted, and answers with the job's
-// state otherwise.
-func (s *State) ifUnknown(o origin, id string, f func()) {
+// state otherwise. pass tries a peer if that can't be told here.
+func (s *State) ifUnknown(o origin, id string, f func(), pass func() bool) {
 	if len(s.waiters) > maxWaiters {
 		s.later(o, "too many requests under way")
 		return
 	}
 	s.fresh(func(ok bool) {
 		switch j := s.jobs[id]; {
+		case !ok && pass():
 		case !ok:
 			s.later(o, "the state service does not answer")
 		case j != nil:
@@ -179,10 +184,12 @@
 		s.answer(o, 200, s.status(j), 0) // final for ever: no need to look
 		return
 	}
-	if s.passOn(o, "poll", id, nil, 0) {
+	if s.storeAge() > s.storeGap() && s.passOn(o, "poll", id, nil, 0) {
 		return
 	}
-	s.ifUnknown(o, id, func() { s.answer(o, 404, Problem{"no such job"}, 0) })
+	s.ifUnknown(o, id,
+		func() { s.answer(o, 404, Problem{"no such job"}, 0) },
+		func() bool { return s.passOn(o, "poll", id, nil, 0) })
 }
 
 func (s *State) withdraw(o origin, id string) {
@@ -190,7 +197,7 @@
 		s.answer(o, 200, s.status(j), 0)
 		return
 	}
-	if s.passOn(o, "withdraw", id, nil, 0) {
+	if s.storeAge() > s.storeGap() && s.passOn(o, "withdraw", id, nil, 0) {
 		return
 	}
 	if s.jobs[id] == nil {
@@ -228,7 +235,9 @@
 			case r == conflict && j != nil && j.final():
 				s.answer(o, 200, s.status(j), 0)
 			default:
-				s.later(o, "the state service does not answer")
+				if !s.passOn(o, "withdraw", id, nil, 0) {
+					s.later(o, "the state service does not answer")
+				}
 			}
 		},
 	})
@@ -261,10 +270,11 @@
 	}
 }
 
-// passOn hands a user's request to a peer that reaches the state service, if
-// we don't. One hop only.
+// passOn hands a user's request to a peer that reaches the state service. One
+// hop only. It may follow a try of our own whose outcome isn't known: the
+// change is the same and guarded, so that it is made once.
 func (s *State) passOn(o origin, verb, id string, value []byte, wall int64) bool {
-	if o.peer != "" || s.loaded && s.storeAge() < s.storeGap() {
+	if o.peer != "" {
 		return false
 	}
 	for _, name := range s.cfg.Peers {
