--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -397,31 +397,23 @@
 	return time.Duration(s.wall-j.at) * time.Millisecond
 }
 
-// within is the time that j should be done in, from its submission; 0 where
-// nobody has said.
-func (s *State) within(j *job) time.Duration {
-	g := s.cfg.Goals[j.Class]
-	switch {
-	case g.Finish > 0:
-		return g.Finish
-	case g.Due > 0 && j.Due != nil:
-		return time.Duration(g.Due * *j.Due * float64(time.Second))
-	case j.Due != nil:
-		return time.Duration(*j.Due * float64(time.Second))
-	}
-	return 0
-}
-
 // pressing says whether j can't wait any longer for room on the machines
 // there are, or for cheap ones: part of the time that its class leaves beyond
 // boot, fetch and run has passed.
 func (s *State) pressing(j *job) bool {
-	if j.Kind == model.Service || s.cfg.Goals[j.Class].Start > 0 {
+	var within time.Duration
+	g := s.cfg.Goals[j.Class]
+	switch {
+	case j.Kind == model.Service || g.Start > 0:
 		return true
-	}
-	within := s.within(j)
-	if within == 0 {
-		within = s.cfg.CancelIn // nobody said: about as long as users wait for anything
+	case g.Finish > 0:
+		within = g.Finish
+	case g.Due > 0 && j.Due != nil:
+		within = time.Duration(g.Due * *j.Due * float64(time.Second))
+	case j.Due != nil:
+		within = time.Duration(*j.Due * float64(time.Second))
+	default:
+		within = s.cfg.CancelIn
 	}
 	boot, rate := 0.0, 0.0
 	for i := range s.typeList {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -99,14 +99,14 @@
 		}
 		if j.entry == nil {
 			j.entry = &sched.Job{
-				ID: j.ID, Arrival: j.arrival,
+				ID: j.ID, Rank: queueRank(j), Arrival: j.arrival,
 				Need:  sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB},
 				Image: j.Image, ImageGB: j.ImageGB,
 				Estimate: time.Duration(j.Estimate * float64(time.Second)),
 				Endless:  j.Kind == model.Service,
 			}
 		}
-		j.entry.Waiting, j.entry.Rank = n, s.queueRank(j)
+		j.entry.Waiting = n
 		queue = append(queue, j)
 	}
 	sort.Slice(queue, func(a, b int) bool {
@@ -118,27 +118,10 @@
 	return queue
 }
 
-// queueRank is a job's place ahead of the order of arrival: by priority, and
-// within a priority what can still meet its aim before what can't any more.
-// Under overload strict arrival makes every job late by the same wait.
-func (s *State) queueRank(j *job) int {
-	if s.hopeless(j) {
-		return 2*j.rank + 1
-	}
-	return 2 * j.rank
-}
-
-// hopeless says whether j can't be done in the time that its class has, even
-// if all of it started now. After twice that time it counts as any other again:
-// it must not wait for ever.
-func (s *State) hopeless(j *job) bool {
-	within := s.within(j)
-	if within == 0 {
-		return false
-	}
-	run := time.Duration(0.8 * j.Estimate * float64(time.Second)) // estimates err both ways
-	age := s.age(j)
-	return age+run > within && age < 2*within
+// queueRank is a job's place ahead of the order of arrival: only prod work
+// goes ahead; among the rest the design's one queue by arrival holds.
+func queueRank(j *job) int {
+	return j.rank
 }
 
 func (s *State) sortedMachines() []*machine {
