--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+var (
+	small = &model.MachineType{Name: "small", CPUs: 4, MemoryGB: 16, Price: 0.2, SpotPrice: 0.1}
+	large = &model.MachineType{Name: "large", CPUs: 16, MemoryGB: 64, Price: 0.7, SpotPrice: 0.3}
+)
+
+func offers() []Offer {
+	var out []Offer
+	for _, zone := range []string{"a", "b"} {
+		for _, t := range []*model.MachineType{small, large} {
+			out = append(out, Offer{Type: t, Zone: zone, Price: t.Price}, Offer{Type: t, Zone: zone, Spot: true, Price: t.SpotPrice})
+		}
+	}
+	return out
+}
+
+func want(n int, j model.Job) Want {
+	j.CPUs, j.MemoryGB = 2, 4
+	return Want{Job: &j, Need: sched.Resources{CPUs: 2, MemoryGB: 4}, Count: n}
+}
+
+func TestPlan(t *testing.T) {
+	spread := want(2, model.Job{})
+	spread.PerZone = func(string) int { return 1 }
+	patient := want(2, model.Job{Spot: true})
+	patient.Patient = true
+	nospot := want(2, model.Job{})
+	nospot.Patient = true
+	cases := []struct {
+		name   string
+		wants  []Want
+		coming []Coming
+		limit  int
+		want   string
+	}{
+		{"nothing is wanted", nil, nil, 9, "[]"},
+		{"two tasks fill a small machine", []Want{want(2, model.Job{})}, nil, 9, "[{small a false 1}]"},
+		{"many tasks fill a large one", []Want{want(8, model.Job{})}, nil, 9, "[{large a false 1}]"},
+		{"spot where the job may", []Want{want(2, model.Job{Spot: true})}, nil, 9, "[{small a true 1}]"},
+		{"what is coming is filled first", []Want{want(2, model.Job{})}, []Coming{{"small", "b", false, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 9, "[]"},
+		{"but not on a kind that the job may not use", []Want{want(2, model.Job{})}, []Coming{{"small", "b", true, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 9, "[{small a false 1}]"},
+		{"spread over zones", []Want{spread}, nil, 9, "[{small a false 1} {small b false 1}]"},
+		{"only zone b", []Want{want(2, model.Job{Zone: "b"})}, nil, 9, "[{small b false 1}]"},
+		{"only large machines", []Want{want(1, model.Job{Types: []string{"large"}})}, nil, 9, "[{large a false 1}]"},
+		{"a patient job takes spot machines", []Want{patient}, nil, 9, "[{small a true 1}]"},
+		{"and none if it may not use them", []Want{nospot}, nil, 9, "[]"},
+		{"no more than the limit", []Want{want(40, model.Job{})}, nil, 2, "[{large a false 1} {large b false 1}]"},
+	}
+	for _, c := range cases {
+		got := Plan(c.wants, c.coming, offers(), c.limit)
+		if s := fmt.Sprint(got); s != c.want {
+			t.Errorf("%s: %s, want %s", c.name, s, c.want)
+		}
+	}
+}
