--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -126,6 +126,9 @@
 func (s *State) list(after string) {
 	s.listing = true
 	tenure := s.tenure
+	for _, host := range ordered(s.returned) {
+		s.recentlyReturned(host) // forgets those of long ago
+	}
 	ok := s.cloud(CloudCall{Op: CloudList, After: after, Limit: 500}, func(d CloudDone) {
 		if s.tenure != tenure {
 			return
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -25,6 +25,25 @@
 	return StoreCall{}, false
 }
 
+// TestRemovedKeysAreForgotten: the copy of the state must not grow with every
+// key that ever was, and an old watch's news must not bring one back.
+func TestRemovedKeysAreForgotten(t *testing.T) {
+	s := alone()
+	c, _ := storeCall(s.Step(0, Tick{}), StoreList)
+	s.Step(time.Millisecond, StoreDone{Call: c.Call, Status: 200, Rev: 4, Items: []Item{{Key: dirMachine + "n-1", Value: []byte(`{}`), Stamp: 3}}})
+	w, _ := storeCall(s.Step(time.Second, Tick{}), StoreWatch)
+	gone := Item{Key: dirMachine + "n-1", Stamp: 5, Removed: true}
+	s.Step(time.Second+time.Millisecond, StoreDone{Call: w.Call, Status: 200, Rev: 5, Items: []Item{gone}})
+	s.apply(Item{Key: dirMachine + "n-1", Value: []byte(`{}`), Stamp: 3})
+	if s.stamp(dirMachine+"n-1") != 0 || s.machines["n-1"] != nil {
+		t.Error("old news brought a removed key back")
+	}
+	s.Step(2*time.Second, Tick{})
+	if len(s.stamps) != 0 || len(s.removed) != 0 {
+		t.Errorf("still kept: %v %v", s.stamps, s.removed)
+	}
+}
+
 // TestFirstRevisionIsWatched: an empty store is at revision 0. A controller
 // that watched from 1 on missed the term of the first election, and no later
 // election could be won.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -122,6 +122,7 @@
 		s.load()
 		return
 	}
+	s.dropTombstones()
 	s.watching = true
 	sent := s.now
 	s.store(StoreCall{Op: StoreWatch, Prefix: root, After: s.rev, Block: time.Second, Timeout: 2 * time.Second}, func(d StoreDone) {
@@ -131,6 +132,21 @@
 	})
 }
 
+// dropTombstones forgets removed keys, so that memory doesn't grow with every
+// machine and job that ever was. A tombstone keeps older news of its key from
+// bringing it back; with no request under way, none can come any more.
+func (s *State) dropTombstones() {
+	if s.syncing || s.writing || s.loading {
+		return
+	}
+	for k := range s.removed {
+		if s.stamps[k] <= s.rev {
+			delete(s.stamps, k)
+			delete(s.removed, k)
+		}
+	}
+}
+
 func (s *State) news(d StoreDone) bool {
 	switch d.Status {
 	case 200:
