Keep machines in use whose return the cloud refused

A 503 or 429 says that nothing was done; only silence leaves a doubt. Test: TestIdleMachinesServeWhileTheCloudIsDown.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -225,11 +225,20 @@
 			return
 		}
 		s.returnBy = false
-		if d.Status != 200 {
-			return
-		}
 		for _, h := range hosts {
-			s.gone(h)
+			m := s.machines[h]
+			switch {
+			case d.Status == 200:
+				s.gone(h)
+			case m == nil:
+			case d.Status == 503 || d.Status == 429:
+				// Not done, so the machine is ours as before; held back, it
+				// would stand empty for as long as the cloud is in trouble.
+				m.returning = m.returnDoubt
+				s.dirty = true
+			default:
+				m.returnDoubt = true // perhaps gone at any moment from now
+			}
 		}
 	})
 	if !ok {
@@ -238,9 +247,13 @@
 	s.returnBy = true
 	for _, h := range hosts {
 		m := s.machines[h]
-		m.returning = true
+		level := slog.LevelInfo
+		if m.returnTold {
+			level = slog.LevelDebug // tried before
+		}
+		m.returning, m.returnTold = true, true
 		s.dirty = true
-		s.log(slog.LevelInfo, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.tenure.Term)
+		s.log(level, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.tenure.Term)
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -54,16 +54,19 @@
 	rosterBusy bool
 	standing   bool // the operators' own, there before us: never returned for being idle
 	returning  bool
-	dead       bool          // the cloud says that it has failed
-	heard      time.Duration // last report of any kind
-	lastBeat   time.Duration // receipt of the last report answered with 200
-	hiredAt    time.Duration
-	idleSince  time.Duration
-	recallAt   time.Duration // 0: none
-	downUntil  time.Duration // no new tasks before (refusals, errors)
-	errors     int
-	slow       bool // found slow: drained, returned and replaced
-	slowSigns  int
+	// returnDoubt: a return had no answer, so the machine can't be counted on.
+	returnDoubt bool
+	returnTold  bool
+	dead        bool          // the cloud says that it has failed
+	heard       time.Duration // last report of any kind
+	lastBeat    time.Duration // receipt of the last report answered with 200
+	hiredAt     time.Duration
+	idleSince   time.Duration
+	recallAt    time.Duration // 0: none
+	downUntil   time.Duration // no new tasks before (refusals, errors)
+	errors      int
+	slow        bool // found slow: drained, returned and replaced
+	slowSigns   int
 
 	tasks     map[string]*task
 	strangers map[string]model.TaskReport
@@ -120,6 +123,7 @@
 // forgetTerm drops what only the leader of a term may rely on.
 func (m *machine) forgetTerm() {
 	m.up, m.adopted, m.lapsed, m.returning, m.direct, m.rosterBusy = false, false, false, false, false, false
+	m.returnDoubt, m.returnTold = false, false
 	m.tasks = map[string]*task{}
 	m.strangers = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
--- a/internal/standin/teams_test.go
+++ b/internal/standin/sharing_test.go
@@ -63,3 +63,17 @@
 		t.Errorf("%d low tasks left of 12, want 10", n)
 	}
 }
+
+// TestIdleMachinesServeWhileTheCloudIsDown: a return that the cloud refused
+// leaves the machine as it was. It used to stand empty until the cloud was
+// back, while jobs waited for it.
+func TestIdleMachinesServeWhileTheCloudIsDown(t *testing.T) {
+	w := New(Defaults(4))
+	w.At(second, func() { w.Users.Submit(batch("req-000001", 4), 5*second) })
+	w.At(20*second, func() { w.Cloud.Out = true })
+	w.At(120*second, func() { w.Users.Submit(batch("req-000002", 4), 5*second) })
+	w.Run(150 * second)
+	if n := len(w.Check.jobs["req-000002"].done); n != 4 {
+		t.Errorf("%d of 4 tasks done on the idle machine after 30 s", n)
+	}
+}
