--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -59,3 +59,39 @@
 		t.Errorf("watch after %d (asked: %v), want 0", w.After, ok)
 	}
 }
+
+// TestUnreachedNodeLetsOthersGoFirst: a node that gave up leading because no
+// worker reached it was elected again when its successor crashed, and cost the
+// workers a lease. It now runs only when nobody else has after a while, or
+// once a worker has come.
+func TestUnreachedNodeLetsOthersGoFirst(t *testing.T) {
+	claims := func(s *State, at time.Duration) bool {
+		for _, e := range s.Step(at, Tick{}) {
+			if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgClaim {
+				return true
+			}
+		}
+		return false
+	}
+	fresh := func() *State {
+		cfg := alone().cfg
+		cfg.Peers = []string{"n1", "n2"}
+		s := New(cfg, 0)
+		s.loaded, s.hasTouch, s.contact = true, true, 20*time.Second
+		s.unreached, s.leaderGone = true, 20*time.Second
+		return s
+	}
+	s := fresh()
+	if claims(s, 20*time.Second+time.Second) {
+		t.Error("it ran at once")
+	}
+	s.contact = 23 * time.Second
+	if !claims(s, 23*time.Second) {
+		t.Error("it does not run though nobody else has for a quarter of the lease")
+	}
+	s = fresh()
+	s.Step(20*time.Second, Beat{Req: 1})
+	if !claims(s, 20*time.Second+time.Second) {
+		t.Error("a worker has come, and it does not run")
+	}
+}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -11,18 +11,19 @@
 // lead is what concerns leadership: promises, candidacy and the leader's own
 // bookkeeping, which a new term starts afresh.
 type lead struct {
-	voter    *election.Voter
-	peers    map[string]*peerState
-	tenure   *election.Tenure // candidacy or leadership; nil for a follower
-	grant    uint64           // lease of the leader key
-	grantAt  time.Duration    // sending of the request that got it
-	bidding  bool             // grant or key transaction under way
-	nextBid  time.Duration
-	claimAt  time.Duration
-	touchAt  time.Duration
-	helloAt  time.Duration
-	touching bool
-	abstain  time.Duration // no candidacy before
+	voter     *election.Voter
+	peers     map[string]*peerState
+	tenure    *election.Tenure // candidacy or leadership; nil for a follower
+	grant     uint64           // lease of the leader key
+	grantAt   time.Duration    // sending of the request that got it
+	bidding   bool             // grant or key transaction under way
+	nextBid   time.Duration
+	claimAt   time.Duration
+	touchAt   time.Duration
+	helloAt   time.Duration
+	touching  bool
+	unreached bool          // stepped down because no worker came, and none has come since
+	abstain   time.Duration // no candidacy before
 
 	electedAt  time.Duration
 	electedRev uint64
@@ -163,6 +164,11 @@
 	if node, bound := s.voter.Bound(s.now); bound && node != s.cfg.Self {
 		return
 	}
+	if s.unreached && s.now-s.leaderGone < s.cfg.Lease/4 {
+		// It led without being reached before and has heard no worker since:
+		// the others go first. Elected again, it cost the workers a lease.
+		return
+	}
 	term := max(s.term, s.voter.Top())
 	for _, p := range s.peers {
 		term = max(term, p.top)
@@ -308,6 +314,7 @@
 	}
 	if s.cutFromWorkers() {
 		s.abstain = s.now + s.cfg.Lease
+		s.unreached = true
 		s.stepDown("no worker reaches this node")
 	}
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -187,6 +187,7 @@
 
 // beat takes a worker's report.
 func (s *State) beat(e Beat) {
+	s.unreached = false
 	if !s.Leading() {
 		if s.tenure != nil && s.electedAt != 0 {
 			// Not caught up yet: neither a 200 nor a redirect.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -41,6 +41,7 @@
 	leaderNode  string
 	leaderTerm  uint64
 	leaderStamp uint64
+	leaderGone  time.Duration // when the key was last seen to go
 	typesStamp  uint64
 }
 
@@ -225,6 +226,7 @@
 		s.superseded()
 	case it.Key == keyLeader:
 		s.leaderNode, s.leaderTerm, s.leaderStamp = "", 0, 0
+		s.leaderGone = s.now
 		if !it.Removed {
 			var v leaderValue
 			if json.Unmarshal(it.Value, &v) == nil {
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -136,6 +136,40 @@
 			})
 		})
 	}},
+	{"leader cut from the workers, and its successor crashes", func(w *World) {
+		w.At(40*second, func() {
+			n := w.Leader()
+			cut := map[string]bool{}
+			var more func()
+			more = func() { // machines that come up later are cut off too
+				for _, h := range sortedKeys(w.Workers) {
+					if !cut[h] {
+						w.Cut(n.Name, h, "hold")
+						cut[h] = true
+					}
+				}
+				if w.Now < 100*second {
+					w.After(100*time.Millisecond, more)
+				}
+			}
+			more()
+			w.At(70*second, func() {
+				if l := w.Leader(); l != nil {
+					l.Crash()
+				}
+			})
+			w.At(74*second, func() {
+				if w.Leader() == n {
+					w.Check.broken("cut_leader", "%s leads again, still cut from the workers", n.Name)
+				}
+			})
+			w.At(101*second, func() {
+				for _, h := range sortedKeys(cut) {
+					w.Heal(n.Name, h)
+				}
+			})
+		})
+	}},
 	{"restarts inside an election", func(w *World) {
 		w.At(40*second, func() { w.Leader().Crash() })
 		for i := 0; i < 12; i++ {
