--- a/cmd/mulleinfall/main.go
+++ b/cmd/mulleinfall/main.go
@@ -35,7 +35,13 @@
 func main() {
 	var f flags
 	k := kong.Parse(&f, kong.Name("mulleinfall"), kong.Description("A cluster scheduler that sends work to where its image is."),
-		kong.Vars{"version": version}, kong.UsageOnError())
+		kong.Vars{"version": version}, kong.UsageOnError(),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = 2 // wrong arguments are wrong settings
+			}
+			os.Exit(code)
+		}))
 	logTo(os.Getenv("LOG_LEVEL"))
 	set, err := config.Load(f.Config, f.Operator)
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,7 +24,6 @@
 // ignored: new ones may come.
 type Platform struct {
 	Name     string `json:"node_name"`
-	Zone     string `json:"domain"`
 	Listen   string `json:"api_addr"`
 	PeerAddr string `json:"back"`
 	Peers    []Peer `json:"others"`
@@ -64,7 +63,6 @@
 // Peer is another controller.
 type Peer struct {
 	Name string `json:"node_name"`
-	Zone string `json:"domain"`
 	Addr string `json:"peer_addr"`
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mulleinfall/internal/agent"
 	"mulleinfall/internal/api"
 	"mulleinfall/internal/cloud"
@@ -26,6 +28,9 @@
 // workers are told to come back.
 const maxEvents = 2048
 
+// linesPerSecond bounds the core's log; ten seconds' worth may come at once.
+const linesPerSecond = 200
+
 // Node is one controller.
 type Node struct {
 	set   *config.Settings
@@ -41,12 +46,17 @@
 	cloud *cloud.Client
 	agent *agent.Client
 	links map[string]*peer.Link
+
+	// A flood of lines would take the processor from what they tell about.
+	logs     *rate.Limiter
+	unlogged int
 }
 
 // New makes a controller from checked settings; Run serves it.
 func New(set *config.Settings, boot uint64) *Node {
 	n := &Node{set: set, start: time.Now(), events: make(chan core.Event, maxEvents),
-		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{}}
+		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{},
+		logs: rate.NewLimiter(linesPerSecond, 10*linesPerSecond)}
 	cfg := set.Core(boot)
 	cfg.Budget = func() func() bool {
 		end := n.Now() + set.Budget
@@ -155,6 +165,14 @@
 				l.Send(e.Msg)
 			}
 		case core.Log:
+			if e.Level < slog.LevelError && !n.logs.Allow() {
+				n.unlogged++
+				continue
+			}
+			if n.unlogged > 0 {
+				slog.Warn("log lines left out", "count", n.unlogged)
+				n.unlogged = 0
+			}
 			slog.Log(ctx, e.Level, e.Text, e.Args...)
 		}
 	}
--- a/internal/sched/cache.go
+++ b/internal/sched/cache.go
@@ -39,6 +39,3 @@
 		c.images = c.images[1:]
 	}
 }
-
-// Len is the number of images held.
-func (c *Cache) Len() int { return len(c.images) }
