--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,9 +32,8 @@
 		State string `json:"state"`
 	} `json:"endpoints"`
 	Params struct {
-		Nodes int      `json:"count"`
-		Zones []string `json:"zones"`
-		Teams []Team   `json:"teams"`
+		Nodes int    `json:"count"`
+		Teams []Team `json:"teams"`
 		// Objectives repeat the aims on starting and finishing.
 		Objectives []Objective `json:"objectives"`
 		Workers    struct {
