--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -420,7 +420,7 @@
 	var within time.Duration
 	g := s.cfg.Goals[j.Class]
 	switch {
-	case j.Kind == model.Service || g.Start > 0:
+	case j.Kind != model.Batch || g.Start > 0:
 		return true
 	case g.Finish > 0:
 		within = g.Finish
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -94,8 +94,8 @@
 	var queue []*job
 	for _, j := range s.active {
 		n := j.waiting()
-		if n == 0 || !s.ripe(j) {
-			continue
+		if n == 0 || !s.ripe(j) || j.Kind == model.Gang && len(j.tasks) > 0 {
+			continue // a gang waits until all its former tasks are gone
 		}
 		if j.entry == nil {
 			j.entry = &sched.Job{
@@ -104,6 +104,7 @@
 				Image: j.Image, ImageGB: j.ImageGB,
 				Estimate: time.Duration(j.Estimate * float64(time.Second)),
 				Endless:  j.Kind == model.Service,
+				Gang:     j.Kind == model.Gang,
 			}
 		}
 		j.entry.Waiting = n
@@ -310,12 +311,27 @@
 	return true
 }
 
+// Undo takes back the tasks of a gang that doesn't fit as a whole. Nothing of
+// them has left this node yet.
+func (e *roundEnv) Undo(sj *sched.Job) {
+	j := e.jobs[sj]
+	for _, i := range ordered(j.tasks) {
+		t := j.tasks[i]
+		delete(j.tasks, i)
+		delete(t.m.tasks, t.name)
+		e.s.unfetch(t)
+		j.retry = append(j.retry, i)
+		e.s.refreshView(t.m)
+		e.s.paths[sched.Together]--
+	}
+}
+
 // makeRoom stops work of lower priority for prod work that finds no room, and
 // work that other teams run beyond their guarantee for a team within its own.
 func (s *State) makeRoom(queue []*job, env *roundEnv) {
 	used := s.teamUse()
 	for _, j := range queue {
-		if j.rank != model.Rank(model.Prod) && !s.guaranteed(j, used) {
+		if j.Kind == model.Gang || j.rank != model.Rank(model.Prod) && !s.guaranteed(j, used) {
 			continue
 		}
 		n := j.entry.Waiting
@@ -377,7 +393,7 @@
 		}
 	}
 	for _, j := range queue {
-		if left == 0 || j.entry.Waiting == 0 || j.rank == model.Rank(model.Prod) || !s.underLimit(j) {
+		if left == 0 || j.entry.Waiting == 0 || j.rank == model.Rank(model.Prod) || j.Kind == model.Gang || !s.underLimit(j) {
 			continue
 		}
 		var best *machine
@@ -476,6 +492,9 @@
 			ran -= t.job.Checkpoint
 		}
 	}
+	if t.job.Kind == model.Gang {
+		ran *= float64(t.job.Tasks) // the others can't go on without it
+	}
 	return ran * t.job.CPUs
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -411,6 +411,11 @@
 	s.unfetch(t)
 	s.dirty = true
 	if why != model.CauseDone && !t.job.final() {
+		if t.job.Kind == model.Gang {
+			for _, o := range t.job.tasks {
+				s.kill(o, t.job.SaveCost*1.25) // no use without this one
+			}
+		}
 		t.job.retry = append(t.job.retry, t.index)
 		s.log(slog.LevelDebug, "task waits again", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.tenure.Term)
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -160,7 +160,7 @@
 		return "a task fits no allowed machine type"
 	}
 	n := 1.0
-	if j.Kind == model.Service {
+	if j.Kind != model.Batch {
 		n = float64(j.Tasks)
 	}
 	lim := team.Limit
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -33,6 +33,7 @@
 const (
 	Batch   = "batch"
 	Service = "service"
+	Gang    = "gang" // all tasks run at the same time, or none
 
 	Prod   = "prod"
 	High   = "high"
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -42,6 +42,7 @@
 	ImageGB  float64
 	Estimate time.Duration // run time; 0 for services
 	Endless  bool          // a service: runs until cancelled
+	Gang     bool          // goes only when all its tasks fit now
 	Waiting  int           // tasks in the global queue
 	Skips    int           // times that a later task went first
 	holding  bool          // a machine is kept free for it in this round
@@ -100,6 +101,8 @@
 	UnderLimit(j *Job) bool
 	// Place binds one waiting task of j to m; false if it can't after all.
 	Place(j *Job, m *Machine, path Path) bool
+	// Undo takes back what Place did for j in this round.
+	Undo(j *Job)
 	// Spent says that the round's time budget is used up.
 	Spent() bool
 }
@@ -114,6 +117,7 @@
 	Fetched  Path = "fetch"     // cheaper to fetch on a free machine
 	FromWait Path = "local"     // from a local queue
 	AtLimit  Path = "limit"     // passed SkipLimit times, went at once
+	Together Path = "gang"      // with all the others of its job
 	Passing  Path = "pass_miss" // exception: the tasks ahead fit nowhere now
 )
 
@@ -223,6 +227,14 @@
 	}
 	for i := start; i < len(jobs); i++ {
 		j := jobs[i]
+		if j.Gang {
+			if env.Spent() {
+				r.resume, r.last = true, j.ID
+				return false
+			}
+			gang(now, j, machines, env)
+			continue
+		}
 		for j.Waiting > 0 {
 			if env.Spent() {
 				r.resume, r.last = true, j.ID
@@ -239,6 +251,29 @@
 	return true
 }
 
+// gang sends all tasks of j on their way, or none of them. It knows neither
+// local queues nor skips.
+func gang(now time.Duration, j *Job, machines []*Machine, env Env) {
+	for n := j.Waiting; j.Waiting > 0; {
+		var best *Machine
+		cost := Never
+		for _, m := range machines {
+			if m.held || !m.Free.Fits(j.Need) || !env.Allowed(j, m) {
+				continue
+			}
+			c := m.fetchTime(now, j)
+			if best == nil || c < cost || c == cost && better(m, best, j) {
+				best, cost = m, c
+			}
+		}
+		if best == nil || !env.UnderLimit(j) || !env.Place(j, best, Together) {
+			env.Undo(j)
+			j.Waiting = n
+			return
+		}
+	}
+}
+
 // serveLocal gives m's room to its local queue first, and returns what has
 // waited longer than estimated to the global queue.
 func (r *Round) serveLocal(now time.Duration, m *Machine, env Env) {
@@ -367,7 +402,7 @@
 func earlier(ahead []*Job, j *Job, env Env) []*Job {
 	var out []*Job
 	for _, a := range ahead {
-		if a.Rank == j.Rank && a.Waiting > 0 && env.UnderLimit(a) {
+		if !a.Gang && a.Rank == j.Rank && a.Waiting > 0 && env.UnderLimit(a) {
 			out = append(out, a)
 		}
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -22,9 +22,21 @@
 	limit    map[string]float64 // CPUs left to a job's team
 	budget   int
 	spent    int
+	placed   map[*Machine]int // of the gang at hand
 	out      strings.Builder
 }
 
+func (b *bench) Undo(j *Job) {
+	for _, m := range b.machines {
+		if n := b.placed[m]; n > 0 {
+			m.Free.CPUs += float64(n) * j.Need.CPUs
+			m.Running = m.Running[:len(m.Running)-n]
+		}
+	}
+	clear(b.placed)
+	fmt.Fprintf(&b.out, "  %s: not all fit, taken back\n", j.ID)
+}
+
 func (b *bench) Allowed(j *Job, m *Machine) bool { return true }
 func (b *bench) Spent() bool                     { b.spent++; return b.budget > 0 && b.spent > b.budget }
 func (b *bench) UnderLimit(j *Job) bool {
@@ -34,6 +46,9 @@
 
 func (b *bench) Place(j *Job, m *Machine, path Path) bool {
 	j.Waiting--
+	if path == Together {
+		b.placed[m]++
+	}
 	m.Free = m.Free.Sub(j.Need)
 	end := Never
 	if !j.Endless {
@@ -93,6 +108,10 @@
 			j.Endless = true
 		}
 		b.jobs = append(b.jobs, j)
+	case "gang": // gang JOB: it is one
+		for _, j := range b.jobs {
+			j.Gang = j.Gang || j.ID == f[1]
+		}
 	case "limit": // limit JOB CPUS
 		b.limit[f[1]] = num(2)
 	case "skipped": // skipped JOB N
@@ -145,7 +164,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			b := &bench{round: NewRound(Config{SkipLimit: 25}), limit: map[string]float64{}}
+			b := &bench{round: NewRound(Config{SkipLimit: 25}), limit: map[string]float64{}, placed: map[*Machine]int{}}
 			for line := range strings.Lines(string(kept)) {
 				if strings.HasPrefix(line, "  ") {
 					continue
--- a/internal/standin/sharing_test.go
+++ b/internal/standin/sharing_test.go
@@ -77,3 +77,43 @@
 		t.Errorf("%d of 4 tasks done on the idle machine after 30 s", n)
 	}
 }
+
+// TestGangRunsTogether: all tasks of a gang start in one round, and when one
+// is lost with its machine none of the others runs on without it.
+func TestGangRunsTogether(t *testing.T) {
+	w := New(Defaults(4))
+	g := batch("req-000001", 6)
+	g.Kind, g.CPUs = model.Gang, 2
+	w.At(second, func() { w.Users.Submit(g, 30*second) })
+	var seen []int
+	for at := 2 * second; at < 120*second; at += second {
+		w.At(at, func() {
+			if tr := w.Check.jobs["req-000001"]; tr != nil && len(tr.done) == 0 {
+				seen = append(seen, len(tr.on))
+			}
+		})
+	}
+	w.At(40*second, func() {
+		if wk := w.host("req-000001/0"); wk != nil {
+			w.Cloud.Take(wk.info.Host)
+		}
+	})
+	w.Run(120 * second)
+	full, part := 0, 0
+	for _, n := range seen {
+		switch {
+		case n == 6:
+			full++
+		case n > 0:
+			part++
+		}
+	}
+	// Parts are seen only while images arrive and while a lost lease is
+	// waited out.
+	if full == 0 || len(w.Check.jobs["req-000001"].done) != 6 {
+		t.Errorf("all six together for %d s, parts for %d s, %d done", full, part, len(w.Check.jobs["req-000001"].done))
+	}
+	for _, b := range w.Check.Broken {
+		t.Error(b)
+	}
+}
