Keep views up to date, rank machines once a job, space rounds of decisions

Cause: each report that changed anything ran a whole round: all views rebuilt and sorted, every machine scanned for every task, every tick sorted the fleet. Now the machines stand in one sorted list, views are worked out when their tasks changed, a job's tasks share one ranking, rounds are a 24th of a report interval apart and reports that free room are answered after the next one. Ruled out: entitlement and requests (none refused, CPU peaks at the share).

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -189,7 +189,7 @@
 	}
 	var hosts []string
 	idle := 0
-	for _, m := range s.sortedMachines() {
+	for _, m := range s.order {
 		if len(hosts) >= 100 {
 			break
 		}
@@ -285,7 +285,7 @@
 	for _, name := range ordered(m.tasks) {
 		s.unbind(m.tasks[name], "machine returned")
 	}
-	delete(s.machines, host)
+	s.drop(host)
 	if s.returned == nil {
 		s.returned = map[string]time.Duration{}
 	}
@@ -368,7 +368,7 @@
 		wants = append(wants, w)
 	}
 	if j, ok := s.serviceNeed(); ok && s.cfg.SpareServices > 0 {
-		spare := &job{Job: j.Job, tasks: map[int]*task{}}
+		spare := &job{Job: j.Job}
 		spare.Spread, spare.Zone = false, ""
 		wants = append(wants, s.want(spare, s.cfg.SpareServices))
 	}
@@ -378,7 +378,7 @@
 	var coming []fleet.Coming
 	horizon := s.now + s.soonestBoot()
 	have := map[string]int{}
-	for _, m := range s.sortedMachines() {
+	for _, m := range s.order {
 		have[m.zone]++
 		if m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
 			continue
@@ -390,9 +390,13 @@
 			// Room that running work should free before a rented machine could
 			// be up is as good as a rented machine.
 			for _, r := range m.view.Running {
-				if r.End < horizon {
-					c.Free = c.Free.Add(r.Need)
+				if r.End >= horizon {
+					break
 				}
+				c.Free = c.Free.Add(r.Need)
+			}
+			if c.Free.CPUs <= 0 || c.Free.MemoryGB <= 0 {
+				continue // full for longer: nothing to plan with
 			}
 		} else {
 			c.Free = m.view.Capacity
@@ -448,13 +452,7 @@
 	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
 	if j.Spread {
 		w.PerZone = func(zone string) int {
-			n := j.ZoneCap()
-			for _, t := range j.tasks {
-				if t.m.zone == zone {
-					n--
-				}
-			}
-			return n
+			return j.ZoneCap() - j.zones[zone]
 		}
 	}
 	return w
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,7 +31,7 @@
 	// A task of an older job that no machine has shown may still be
 	// somewhere, until every machine of the roster that may have been given
 	// it is accounted for.
-	for _, m := range s.machines {
+	for _, m := range s.unseen {
 		if s.unaccounted(m) && j.AllowsType(m.typeName) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot) {
 			return false
 		}
@@ -41,65 +42,97 @@
 // dispatch makes a round of decisions and sends what it decided.
 func (s *State) dispatch() {
 	s.dirty = false
-	s.nextRound = s.now + s.cfg.ReportEvery/6
-	env := &roundEnv{s: s, views: map[*sched.Machine]*machine{}, spent: func() bool { return false }}
-	if s.cfg.Budget != nil {
-		env.spent = s.cfg.Budget()
+	env := &roundEnv{s: s, elapsed: func() time.Duration { return 0 }}
+	if s.cfg.Stopwatch != nil {
+		env.elapsed = s.cfg.Stopwatch()
 	}
 	queue := s.queueView()
-	env.jobs = make(map[*sched.Job]*job, len(queue))
+	if len(queue) > 0 {
+		s.decide(queue, env)
+	}
+	// A round that took long is followed by as much time for everything else:
+	// reports and renewals must not starve behind decisions.
+	s.nextRound = s.now + env.elapsed() + max(s.cfg.ReportEvery/roundsPerReport, env.elapsed())
+	s.answerBeats()
+	for _, m := range env.touched {
+		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
+			s.flush(m)
+		}
+	}
+}
+
+// roundsPerReport is how many rounds of decisions at most there are in a
+// worker's report interval.
+const roundsPerReport = 24
+
+// decide runs the dispatch rule and what follows it for the jobs that wait.
+func (s *State) decide(queue []*job, env *roundEnv) {
 	entries := make([]*sched.Job, len(queue))
 	for i, j := range queue {
 		entries[i] = j.entry
-		env.jobs[j.entry] = j
 	}
-	var views []*sched.Machine
-	for _, m := range s.sortedMachines() {
+	env.views = s.views[:0]
+	for _, m := range s.order {
 		if s.usable(m) {
 			s.refreshView(m)
-			views = append(views, &m.view)
-			env.views[&m.view] = m
+			env.views = append(env.views, &m.view)
 		} else if len(m.view.Local) > 0 {
 			m.view.Local = nil // back to the global queue
 		}
 	}
+	s.views = env.views
 	// Local queues hold tasks that are not in the global count; drop entries
 	// of jobs that no longer want them.
-	for _, v := range views {
+	for _, v := range env.views {
+		if len(v.Local) == 0 {
+			continue
+		}
 		kept := v.Local[:0]
 		for _, q := range v.Local {
-			if env.jobs[q.Job] != nil && q.Job.Waiting > 0 {
+			if q.Job.Ref.(*job).entry == q.Job && q.Job.Waiting > 0 {
 				q.Job.Waiting--
 				kept = append(kept, q)
 			}
 		}
 		v.Local = kept
 	}
-	if !s.round.Run(s.now, entries, views, env) {
+	if !s.round.Run(s.now, entries, env.views, env) {
 		s.dirty = true // goes on where it stopped
+		if s.cutShort++; s.cutShort%4 != 0 {
+			return
+		}
+		// Now and then what follows the rule gets its turn all the same.
 	}
 	s.makeRoom(queue, env)
-	s.drainFor(queue, env)
-	for _, host := range ordered(env.touched) {
-		m := env.touched[host]
-		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
-			s.flush(m)
-		}
+	if s.now >= s.drainAt {
+		s.drainAt = s.now + s.cfg.ReportEvery/4
+		s.drainFor(queue, env)
 	}
 }
 
 // queueView lists the jobs with waiting tasks, most urgent first and then by
 // arrival.
 func (s *State) queueView() []*job {
+	if !s.settled {
+		s.unseen = s.unseen[:0]
+		for _, m := range s.order {
+			if s.unaccounted(m) {
+				s.unseen = append(s.unseen, m)
+			}
+		}
+	}
 	var queue []*job
 	for _, j := range s.active {
+		if j.entry != nil {
+			j.entry.Waiting = 0
+		}
 		n := j.waiting()
 		if n == 0 || !s.ripe(j) || j.Kind == model.Gang && len(j.tasks) > 0 {
 			continue // a gang waits until all its former tasks are gone
 		}
 		if j.entry == nil {
 			j.entry = &sched.Job{
-				ID: j.ID, Rank: queueRank(j), Arrival: j.arrival,
+				ID: j.ID, Rank: queueRank(j), Arrival: j.arrival, Ref: j,
 				Need:  sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB},
 				Image: j.Image, ImageGB: j.ImageGB,
 				Estimate: time.Duration(j.Estimate * float64(time.Second)),
@@ -125,29 +158,24 @@
 	return j.rank
 }
 
-func (s *State) sortedMachines() []*machine {
-	list := make([]*machine, 0, len(s.machines))
-	for _, m := range s.machines {
-		list = append(list, m)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].host < list[b].host })
-	return list
-}
-
 // usable says whether m may be given new tasks.
 func (s *State) usable(m *machine) bool {
 	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && m.recallAt == 0 && m.typ != nil &&
 		s.now >= m.downUntil && s.now-m.lastBeat < 2*s.cfg.ReportEvery+s.cfg.Lease/8
 }
 
-// refreshView works out m's free room and what runs on it.
+// refreshView works out m's free room and what runs on it, if anything has
+// changed since it was last done.
 func (s *State) refreshView(m *machine) {
+	if !m.stale {
+		return
+	}
+	m.stale = false
 	v := &m.view
 	v.Free = v.Capacity
 	v.Running = v.Running[:0]
 	v.Stays = 0
-	for _, name := range ordered(m.tasks) {
-		t := m.tasks[name]
+	for _, t := range m.tasks {
 		if t.job.Kind == model.Service && !t.killing {
 			v.Stays += t.job.CPUs
 		}
@@ -160,10 +188,11 @@
 			begin := t.since
 			if t.state != model.TaskRunning {
 				begin = s.now
+				m.stale = true // the end moves on until it has begun
 			}
 			end = begin + time.Duration(t.job.Estimate*float64(time.Second))
 		}
-		v.Running = append(v.Running, sched.Running{Need: need, End: end})
+		v.Add(sched.Running{Need: need, End: end})
 	}
 	for name := range m.strangers {
 		if j := s.strangerJob(name); j != nil {
@@ -195,16 +224,21 @@
 // roundEnv is what the dispatch rule sees of the state.
 type roundEnv struct {
 	s       *State
-	jobs    map[*sched.Job]*job
-	views   map[*sched.Machine]*machine
-	touched map[string]*machine
-	spent   func() bool
+	views   []*sched.Machine
+	touched []*machine // in order, each once
+	elapsed func() time.Duration
 }
 
-func (e *roundEnv) Spent() bool { return e.spent() }
+func (e *roundEnv) Spent() bool { return e.s.cfg.Budget > 0 && e.elapsed() >= e.s.cfg.Budget }
+
+func (e *roundEnv) touch(m *machine) {
+	if !slices.Contains(e.touched, m) {
+		e.touched = append(e.touched, m)
+	}
+}
 
 func (e *roundEnv) Allowed(sj *sched.Job, v *sched.Machine) bool {
-	return e.s.allowed(e.jobs[sj], e.views[v])
+	return e.s.allowed(sj.Ref.(*job), v.Ref.(*machine))
 }
 
 // allowed checks type, zone, kind and the job's other tasks, counting every
@@ -216,23 +250,14 @@
 	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
 		return false
 	}
-	if j.OneZone || j.Spread {
-		here := 0
-		for _, t := range j.tasks {
-			if t.m.zone == m.zone {
-				here++
-			} else if j.OneZone {
-				return false
-			}
-		}
-		if j.Spread && here >= j.ZoneCap() {
-			return false
-		}
+	here := j.zones[m.zone]
+	if j.OneZone && here < len(j.tasks) {
+		return false
 	}
-	return true
+	return !j.Spread || here < j.ZoneCap()
 }
 
-func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.underLimit(e.jobs[sj]) }
+func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.underLimit(sj.Ref.(*job)) }
 
 // underLimit says whether one more task of j keeps its team within its limit.
 func (s *State) underLimit(j *job) bool {
@@ -246,13 +271,8 @@
 		// team would exceed its limit together with what is unseen.
 		return false
 	}
-	var used sched.Resources
-	for _, m := range s.machines {
-		for _, t := range m.tasks {
-			if t.job.Team == j.Team {
-				used = used.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
-			}
-		}
+	used := s.teams[j.Team]
+	for _, m := range s.odd {
 		for name := range m.strangers {
 			o := s.strangerJob(name)
 			if o == nil {
@@ -269,7 +289,7 @@
 
 // Place binds the next waiting task of a job to a machine.
 func (e *roundEnv) Place(sj *sched.Job, v *sched.Machine, path sched.Path) bool {
-	s, j, m := e.s, e.jobs[sj], e.views[v]
+	s, j, m := e.s, sj.Ref.(*job), v.Ref.(*machine)
 	i, ok := j.take()
 	if !ok {
 		sj.Waiting = 0
@@ -280,7 +300,7 @@
 		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session,
 		attempt: s.tenure.Term<<attemptBits | s.attempts,
 	}
-	j.tasks[i], m.tasks[t.name] = t, t
+	s.bind(t)
 	sj.Waiting--
 	need := sj.Need
 	v.Free = v.Free.Sub(need)
@@ -288,7 +308,7 @@
 	if !sj.Endless {
 		end = s.now + sj.Estimate
 	}
-	v.Running = append(v.Running, sched.Running{Need: need, End: end})
+	v.Add(sched.Running{Need: need, End: end})
 	if !v.Images.Has(j.Image) {
 		found := false
 		for _, f := range v.Fetching {
@@ -303,10 +323,7 @@
 		m.keptFor = nil
 	}
 	s.paths[path]++
-	if e.touched == nil {
-		e.touched = map[string]*machine{}
-	}
-	e.touched[m.host] = m
+	e.touch(m)
 	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.tenure.Term)
 	return true
 }
@@ -314,11 +331,10 @@
 // Undo takes back the tasks of a gang that doesn't fit as a whole. Nothing of
 // them has left this node yet.
 func (e *roundEnv) Undo(sj *sched.Job) {
-	j := e.jobs[sj]
+	j := sj.Ref.(*job)
 	for _, i := range ordered(j.tasks) {
 		t := j.tasks[i]
-		delete(j.tasks, i)
-		delete(t.m.tasks, t.name)
+		e.s.unlink(t)
 		e.s.unfetch(t)
 		j.retry = append(j.retry, i)
 		e.s.refreshView(t.m)
@@ -329,30 +345,37 @@
 // makeRoom stops work of lower priority for prod work that finds no room, and
 // work that other teams run beyond their guarantee for a team within its own.
 func (s *State) makeRoom(queue []*job, env *roundEnv) {
-	used := s.teamUse()
+	var used map[string]sched.Resources
 	for _, j := range queue {
-		if j.Kind == model.Gang || j.rank != model.Rank(model.Prod) && !s.guaranteed(j, used) {
+		if j.entry.Waiting == 0 || j.Kind == model.Gang {
 			continue
 		}
+		if used == nil {
+			used = s.teamUse()
+		}
+		if j.rank != model.Rank(model.Prod) && !s.guaranteed(j, used) {
+			continue
+		}
+		if env.Spent() {
+			s.dirty = true
+			return
+		}
 		n := j.entry.Waiting
-		for _, m := range s.machines {
+		for _, m := range s.order {
 			if m.keptFor == j && !m.draining && s.now < m.keptUntil {
 				n-- // room is being made already
 			}
 		}
-		for ; n > 0 && s.underLimit(j); n-- {
-			if !s.preemptFor(j, env, used) {
-				break
-			}
-			used[j.Team] = used[j.Team].Add(j.entry.Need)
+		if n > 0 {
+			s.preemptFor(j, n, env, used)
 		}
 	}
 }
 
-// teamUse is what each team's tasks take now.
+// teamUse is what each team's tasks take now, without those being stopped.
 func (s *State) teamUse() map[string]sched.Resources {
 	used := map[string]sched.Resources{}
-	for _, m := range s.machines {
+	for _, m := range s.order {
 		for _, t := range m.tasks {
 			if !t.killing {
 				used[t.job.Team] = used[t.job.Team].Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
@@ -387,29 +410,36 @@
 // that room first.
 func (s *State) drainFor(queue []*job, env *roundEnv) {
 	left := 1 + len(env.views)/16
-	for _, m := range env.views {
-		if m.draining && m.keptFor != nil && (m.keptFor.entry == nil || m.keptFor.entry.Waiting == 0) {
+	begun := map[*job]bool{}
+	for _, v := range env.views {
+		m := v.Ref.(*machine)
+		if !m.draining || m.keptFor == nil {
+			continue
+		}
+		switch j := m.keptFor; {
+		case j.entry == nil || j.entry.Waiting == 0:
 			m.keptFor = nil // placed elsewhere, or over
+		case s.now < m.keptUntil && !begun[j] && v.Capacity.Fits(j.entry.Need):
+			begun[j] = true // stay with it
+			m.keptUntil = s.now + s.cfg.ReportEvery
+			left--
 		}
 	}
 	for _, j := range queue {
-		if left == 0 || j.entry.Waiting == 0 || j.rank == model.Rank(model.Prod) || j.Kind == model.Gang || !s.underLimit(j) {
+		if left <= 0 || env.Spent() {
+			return
+		}
+		if j.entry.Waiting == 0 || begun[j] || j.rank == model.Rank(model.Prod) || j.Kind == model.Gang || !s.underLimit(j) {
 			continue
 		}
 		var best *machine
 		soonest := sched.Never
-		for _, m := range s.sortedMachines() {
-			if env.views[&m.view] == nil || !m.view.Capacity.Fits(j.entry.Need) {
-				continue
-			}
-			if m.draining && m.keptFor == j && s.now < m.keptUntil {
-				best, soonest = m, 0 // begun: stay with it
-				break
-			}
-			if !s.allowed(j, m) {
+		for _, v := range env.views {
+			m := v.Ref.(*machine)
+			if !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
 				continue
 			}
-			if w := m.view.Wait(s.now, j.entry); w < soonest {
+			if w := v.Wait(s.now, j.entry); w < soonest {
 				best, soonest = m, w
 			}
 		}
@@ -421,64 +451,91 @@
 	}
 }
 
+// victims is work on one machine whose end makes room for one task.
+type victims struct {
+	m    *machine
+	take []*task
+	loss float64
+}
+
 // preemptFor stops the least work, by what would be lost, that makes room for
-// one task of j on one machine.
-func (s *State) preemptFor(j *job, env *roundEnv, used map[string]sched.Resources) bool {
-	var best *machine
-	var victims []*task
-	bestLoss := 0.0
-	for _, m := range s.sortedMachines() {
-		if !s.usable(m) || m.keptFor != nil && s.now < m.keptUntil || !m.view.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+// n tasks of j, one on each machine.
+func (s *State) preemptFor(j *job, n int, env *roundEnv, used map[string]sched.Resources) {
+	var options []victims
+	for _, v := range env.views {
+		m := v.Ref.(*machine)
+		if m.keptFor != nil && s.now < m.keptUntil || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
 			continue
 		}
-		free := m.view.Free
-		var cand []*task
-		for _, t := range m.tasks {
-			if s.mayStop(t, j, used) {
-				cand = append(cand, t)
-			} else if t.killing {
-				free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
-			}
+		if o, ok := s.victimsOn(m, j, used); ok {
+			options = append(options, o)
 		}
-		sort.Slice(cand, func(a, b int) bool {
-			la, lb := s.loss(cand[a]), s.loss(cand[b])
-			return la < lb || la == lb && cand[a].attempt > cand[b].attempt
-		})
-		loss := 0.0
-		var take []*task
-		for _, t := range cand {
-			if free.Fits(j.entry.Need) {
-				break
-			}
-			free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
-			// What has less time to make up for it counts for more.
-			loss += s.loss(t) * float64(1+model.Rank(model.Low)-t.job.rank)
-			take = append(take, t)
+	}
+	sort.Slice(options, func(a, b int) bool {
+		return options[a].loss < options[b].loss || options[a].loss == options[b].loss && options[a].m.host < options[b].m.host
+	})
+	zones := map[string]int{} // room being made, which counts for the spread
+	for _, o := range options {
+		if n <= 0 || !s.underLimit(j) {
+			return
 		}
-		if !free.Fits(j.entry.Need) {
+		if j.Spread && j.zones[o.m.zone]+zones[o.m.zone] >= j.ZoneCap() {
 			continue
 		}
-		if !m.view.Images.Has(j.Image) {
-			loss += j.ImageGB / m.view.Rate * j.CPUs
+		if !s.mayStopAll(o.take, j, used) {
+			continue // the tasks before have changed what a team is beyond its guarantee
 		}
-		if best == nil || loss < bestLoss {
-			best, victims, bestLoss = m, take, loss
+		zones[o.m.zone]++
+		n--
+		for _, t := range o.take {
+			s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", o.m.host, "for", j.ID, "term", s.tenure.Term)
+			used[t.job.Team] = used[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+			s.kill(t, 0)
 		}
+		used[j.Team] = used[j.Team].Add(j.entry.Need)
+		o.m.keptFor, o.m.draining, o.m.keptUntil = j, false, s.now+s.cfg.Lease/2
+		env.touch(o.m)
 	}
-	if best == nil {
-		return false
+}
+
+func (s *State) mayStopAll(take []*task, j *job, used map[string]sched.Resources) bool {
+	for _, t := range take {
+		if !s.mayStop(t, j, used) {
+			return false
+		}
 	}
-	for _, t := range victims {
-		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", best.host, "for", j.ID, "term", s.tenure.Term)
-		used[t.job.Team] = used[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
-		s.kill(t, 0)
+	return true
+}
+
+// victimsOn picks what to stop on m for one task of j.
+func (s *State) victimsOn(m *machine, j *job, used map[string]sched.Resources) (victims, bool) {
+	o := victims{m: m}
+	free := m.view.Free
+	var cand []*task
+	for _, t := range m.tasks {
+		if t.killing {
+			free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
+		} else if s.mayStop(t, j, used) {
+			cand = append(cand, t)
+		}
+	}
+	sort.Slice(cand, func(a, b int) bool {
+		la, lb := s.loss(cand[a]), s.loss(cand[b])
+		return la < lb || la == lb && cand[a].attempt > cand[b].attempt
+	})
+	for _, t := range cand {
+		if free.Fits(j.entry.Need) {
+			break
+		}
+		free = free.Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB})
+		// What has less time to make up for it counts for more.
+		o.loss += s.loss(t) * float64(1+model.Rank(model.Low)-t.job.rank)
+		o.take = append(o.take, t)
 	}
-	best.keptFor, best.draining, best.keptUntil = j, false, s.now+s.cfg.Lease/2
-	if env.touched == nil {
-		env.touched = map[string]*machine{}
+	if !m.view.Images.Has(j.Image) {
+		o.loss += j.ImageGB / m.view.Rate * j.CPUs
 	}
-	env.touched[best.host] = best
-	return true
+	return o, free.Fits(j.entry.Need)
 }
 
 // loss is the work in CPU seconds that stopping t at once throws away.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -39,11 +39,12 @@
 	running int // as the leader last told, for display
 
 	// The leader's part.
-	tasks   map[int]*task // bound to a machine, or may still be there
-	next    int           // tasks from here on never started in this term
-	retry   []int         // tasks to start again
+	tasks   map[int]*task  // bound to a machine, or may still be there
+	zones   map[string]int // how many of them in each zone
+	next    int            // tasks from here on never started in this term
+	retry   []int          // tasks to start again
 	entry   *sched.Job
-	runs    []time.Duration // what its finished tasks took, as this leader saw
+	runs    []time.Duration // what its finished tasks took, as this leader saw, in order
 	errors  int             // exits with "error" in a row
 	retryAt time.Duration
 }
@@ -77,7 +78,7 @@
 }
 
 func (j *job) forgetTerm() {
-	j.tasks = map[int]*task{}
+	j.tasks, j.zones = map[int]*task{}, map[string]int{}
 	j.next, j.retry, j.errors, j.retryAt = 0, nil, 0, 0
 	j.entry, j.runs = nil, nil
 	j.finishing = false
@@ -119,7 +120,7 @@
 	}
 	j := s.jobs[id]
 	if j == nil {
-		j = &job{Job: model.Job{ID: id, Tasks: v.Tasks}, tasks: map[int]*task{}}
+		j = &job{Job: model.Job{ID: id, Tasks: v.Tasks}, tasks: map[int]*task{}, zones: map[string]int{}}
 		s.jobs[id] = j
 		if v.Spec != nil {
 			j.Job = *v.Spec
@@ -147,7 +148,10 @@
 	for _, t := range j.tasks {
 		s.kill(t, 0)
 	}
-	for _, m := range s.machines {
+	for _, m := range s.order {
+		if len(m.view.Local) == 0 {
+			continue
+		}
 		kept := m.view.Local[:0]
 		for _, q := range m.view.Local {
 			if q.Job.ID != j.ID {
@@ -256,6 +260,10 @@
 
 // keepBitmaps writes what has finished, each job at most every few seconds.
 func (s *State) keepBitmaps() {
+	if s.now < s.bitmapsAt {
+		return
+	}
+	s.bitmapsAt = s.now + s.cfg.WriteEvery/8
 	for _, id := range ordered(s.active) {
 		j := s.active[id]
 		if j.doneCount == j.Tasks {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"mulleinfall/internal/election"
@@ -33,7 +34,15 @@
 	attempts   uint64
 	hires      uint64
 	dirty      bool
-	nextRound  time.Duration
+	nextRound  time.Duration // no round of decisions before
+	idleRound  time.Duration
+	drainAt    time.Duration
+	bitmapsAt  time.Duration
+	cutShort   int                        // rounds that ran out of budget
+	unseen     []*machine                 // not accounted for, as of this round
+	views      []*sched.Machine           // buffer of a round
+	beats      []heldBeat                 // reports to be answered after the next round
+	teams      map[string]sched.Resources // what each team's tasks take
 	countsAt   time.Duration
 	slowAt     time.Duration
 	beatAt     time.Duration // last report answered with 200
@@ -105,9 +114,11 @@
 	}
 	s.tenure, s.grant, s.ready, s.settled, s.electedAt, s.touching = nil, 0, false, false, 0, false
 	s.nextBid = s.now + s.pause()
+	s.answerBeats()
 	for _, m := range s.machines {
 		m.forgetTerm()
 	}
+	s.odd, s.teams = nil, nil
 	for _, j := range s.active {
 		j.forgetTerm()
 	}
@@ -330,11 +341,7 @@
 	if s.now-s.beatAt < quiet || s.now-s.electedAt < 2*quiet {
 		return false
 	}
-	there := false
-	for _, m := range s.machines {
-		there = there || m.adopted
-	}
-	if !there {
+	if !slices.ContainsFunc(s.order, func(m *machine) bool { return m.adopted }) {
 		return false
 	}
 	for _, p := range s.peers {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -22,6 +22,7 @@
 	attempt uint64
 	m       *machine
 	session uint64 // of the worker, at the time of binding
+	zone    string // of the machine, at the time of binding
 
 	issued      bool   // a start has been sent
 	issuedSeq   uint64 // report in whose answer it was last sent
@@ -42,6 +43,8 @@
 	typeName, zone string
 	spot           bool
 	view           sched.Machine
+	stale          bool // the view is older than the tasks
+	unsent         bool // there may be starts or stops that haven't been sent
 
 	session, seq uint64
 	seen         uint64 // highest epoch that it has shown
@@ -93,12 +96,30 @@
 	m := s.machines[host]
 	if m == nil {
 		m = &machine{host: host, tasks: map[string]*task{}, strangers: map[string]model.TaskReport{}, hiredAt: s.now, idleSince: s.now}
-		m.view.ID = host
+		m.view.ID, m.view.Ref = host, m
+		m.stale = true
 		s.machines[host] = m
+		at, _ := s.place(host)
+		s.order = slices.Insert(s.order, at, m)
 	}
 	return m
 }
 
+// place is where host stands or would stand in the order of machines.
+func (s *State) place(host string) (int, bool) {
+	return slices.BinarySearchFunc(s.order, host, func(m *machine, h string) int { return strings.Compare(m.host, h) })
+}
+
+// drop forgets a machine.
+func (s *State) drop(host string) {
+	delete(s.machines, host)
+	if at, ok := s.place(host); ok {
+		// A new list: somebody may be going over the old one.
+		s.order = slices.Concat(s.order[:at], s.order[at+1:])
+	}
+	s.odd = slices.DeleteFunc(s.odd, func(m *machine) bool { return m.host == host })
+}
+
 // describe sets what kind of machine m is.
 func (s *State) describe(m *machine, endpoint, typ, zone string, spot bool) {
 	if endpoint != "" {
@@ -107,6 +128,7 @@
 	m.typeName, m.zone, m.spot = typ, zone, spot
 	if t := s.types[typ]; t != nil && m.typ != t {
 		m.typ = t
+		m.stale = true
 		m.view.Capacity = sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 		m.view.Rate = max(t.FetchRate, 0.001)
 		m.view.Price = t.Price
@@ -129,6 +151,7 @@
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
 	m.keptFor, m.slow, m.slowSigns = nil, false, 0
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
+	m.stale, m.unsent = true, false
 }
 
 func (s *State) rosterChanged(host string, it Item) {
@@ -136,7 +159,7 @@
 		if m := s.machines[host]; m != nil {
 			m.rostered = false
 			if !s.Leading() {
-				delete(s.machines, host)
+				s.drop(host)
 			}
 		}
 		return
@@ -157,9 +180,10 @@
 	s.attempts, s.hires, s.beatAt = 0, 0, s.now
 	s.settled = false
 	s.paths = map[sched.Path]int{}
-	for host, m := range s.machines {
+	s.teams, s.odd, s.beats = map[string]sched.Resources{}, nil, nil
+	for _, m := range s.order {
 		if !m.rostered {
-			delete(s.machines, host)
+			s.drop(m.host)
 			continue
 		}
 		m.forgetTerm()
@@ -234,12 +258,40 @@
 	if !m.rostered {
 		s.enroll(m)
 	}
-	if s.dirty {
-		// Place first, so that what was just freed is filled by this answer.
-		s.dispatch()
+	h := heldBeat{e.Req, m, r}
+	if s.dirty && len(s.beats) < maxHeldBeats {
+		// Place first, so that what was just freed is filled by this answer,
+		// and together with what other reports free in the same moment.
+		s.beats = append(s.beats, h)
+		return
+	}
+	s.answerBeat(h)
+}
+
+// heldBeat is a report whose answer waits for the next round of decisions.
+type heldBeat struct {
+	req uint64
+	m   *machine
+	r   *model.Report
+}
+
+// maxHeldBeats bounds the reports that wait for a round.
+const maxHeldBeats = 1000
+
+func (s *State) answerBeat(h heldBeat) {
+	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session {
+		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"overtaken"}})
+		return
+	}
+	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(h.m), s.orders(h.m, h.r)}, Until: s.tenure.Until()})
+}
+
+func (s *State) answerBeats() {
+	beats := s.beats
+	s.beats = nil
+	for _, h := range beats {
+		s.answerBeat(h)
 	}
-	orders := s.orders(m, r)
-	s.emit(Reply{Req: e.Req, Status: 200, Body: BeatReply{s.epoch(m), orders}, Until: s.tenure.Until()})
 }
 
 func (s *State) lateDone(p model.TaskReport) {
@@ -291,7 +343,11 @@
 		}
 		m.recallAt = s.now + time.Duration(*r.Recall*float64(time.Second))
 	}
-	clear(m.strangers)
+	if len(m.strangers) > 0 {
+		clear(m.strangers)
+		m.stale = true
+		s.odd = slices.DeleteFunc(s.odd, func(o *machine) bool { return o == m })
+	}
 	listed := make(map[string]bool, len(r.Tasks))
 	for _, p := range r.Tasks {
 		listed[p.Task] = true
@@ -351,11 +407,15 @@
 	// unless the job is over or the task is somewhere else.
 	if j != nil && !j.final() && i < j.Tasks && !j.isDone(i) && j.tasks[i] == nil {
 		t := &task{job: j, index: i, name: p.Task, attempt: p.Attempt, m: m, session: r.Session, issued: true, adopted: true}
-		j.tasks[i], m.tasks[p.Task] = t, t
+		s.bind(t)
 		s.progress(t, p)
 		return
 	}
+	if len(m.strangers) == 0 {
+		s.odd = append(s.odd, m)
+	}
 	m.strangers[p.Task] = p
+	m.stale = true
 }
 
 // progress takes a bound task's reported state.
@@ -363,7 +423,8 @@
 	m, j := t.m, t.job
 	t.issued = true
 	if t.state != p.State {
-		s.dirty = true
+		s.dirty = s.dirty || p.State == model.TaskExited
+		m.stale, m.unsent = true, true
 		if p.State == model.TaskRunning {
 			t.since = s.now
 			m.view.Images.Use(j.Image, j.ImageGB)
@@ -402,12 +463,32 @@
 	return s.cfg.ReportEvery << min(n-1, 5)
 }
 
-// unbind frees a task from its machine; if it isn't done it waits again.
-func (s *State) unbind(t *task, why string) {
+// bind puts a task into the tables of its job, machine and team.
+func (s *State) bind(t *task) {
+	t.zone = t.m.zone
+	t.job.tasks[t.index], t.m.tasks[t.name] = t, t
+	t.job.zones[t.zone]++
+	s.teams[t.job.Team] = s.teams[t.job.Team].Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+	t.m.stale, t.m.unsent = true, true
+}
+
+// unlink takes it out of them.
+func (s *State) unlink(t *task) {
+	if t.m.tasks[t.name] != t {
+		return
+	}
 	delete(t.m.tasks, t.name)
 	if t.job.tasks[t.index] == t {
 		delete(t.job.tasks, t.index)
+		t.job.zones[t.zone]--
 	}
+	s.teams[t.job.Team] = s.teams[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+	t.m.stale = true
+}
+
+// unbind frees a task from its machine; if it isn't done it waits again.
+func (s *State) unbind(t *task, why string) {
+	s.unlink(t)
 	s.unfetch(t)
 	s.dirty = true
 	if why != model.CauseDone && !t.job.final() {
@@ -443,6 +524,7 @@
 func (s *State) kill(t *task, grace float64) {
 	if !t.killing || grace < t.grace {
 		t.killing, t.grace, t.killAt = true, grace, s.now
+		t.m.stale, t.m.unsent = true, true
 	}
 }
 
@@ -504,7 +586,7 @@
 
 // lapses unbinds what was on machines whose lease has surely run out.
 func (s *State) lapses() {
-	for _, m := range s.sortedMachines() {
+	for _, m := range s.order {
 		if m.lapsed || !m.rostered || s.now < s.leaseEnd(m) {
 			continue
 		}
@@ -514,6 +596,7 @@
 			s.unbind(m.tasks[name], "lease ran out")
 		}
 		clear(m.strangers)
+		s.odd = slices.DeleteFunc(s.odd, func(o *machine) bool { return o == m })
 		m.view.Local = nil
 		s.dirty = true
 	}
@@ -529,10 +612,8 @@
 	if s.settled || !s.Leading() {
 		return
 	}
-	for _, m := range s.machines {
-		if s.unaccounted(m) {
-			return
-		}
+	if slices.ContainsFunc(s.order, s.unaccounted) {
+		return
 	}
 	s.settled, s.dirty = true, true
 	s.log(slog.LevelInfo, "all machines accounted for", "term", s.tenure.Term)
@@ -562,7 +643,7 @@
 
 // recalls clears machines that the cloud is about to take.
 func (s *State) recalls() {
-	for _, m := range s.machines {
+	for _, m := range s.order {
 		if m.recallAt == 0 || !m.adopted {
 			continue
 		}
@@ -581,7 +662,7 @@
 	if !s.Leading() {
 		return
 	}
-	for _, m := range s.sortedMachines() {
+	for _, m := range s.order {
 		if m.direct || m.endpoint == "" || s.now < m.directAt || m.returning {
 			continue
 		}
@@ -595,7 +676,9 @@
 			s.command(m, nil, nil) // is it there at all?
 			continue
 		}
-		s.flush(m)
+		if m.unsent {
+			s.flush(m)
+		}
 	}
 }
 
@@ -615,16 +698,22 @@
 	if !services {
 		return false
 	}
+	return s.othersReport()
+}
+
+// othersReport says whether nearly all machines report: one that doesn't is
+// then itself at fault, and not this node or the network.
+func (s *State) othersReport() bool {
 	there, well := 0, 0
-	for _, o := range s.machines {
-		if o.adopted && o != m {
+	for _, o := range s.order {
+		if o.adopted {
 			there++
 			if s.now-o.heard < 2*s.cfg.ReportEvery {
 				well++
 			}
 		}
 	}
-	return there > 0 && well*10 >= there*9
+	return there > 1 && well*10 >= (there-1)*9
 }
 
 // flush sends m's unsent starts and stops directly.
@@ -652,6 +741,8 @@
 	}
 	if len(orders) > 0 {
 		s.command(m, orders, starts)
+	} else {
+		m.unsent = false
 	}
 }
 
--- a/internal/core/slow.go
+++ b/internal/core/slow.go
@@ -2,7 +2,7 @@
 
 import (
 	"log/slog"
-	"sort"
+	"slices"
 	"time"
 
 	"mulleinfall/internal/model"
@@ -23,9 +23,7 @@
 	if len(j.runs) < slowSamples {
 		return time.Duration(j.Estimate * float64(time.Second)), false
 	}
-	sorted := append([]time.Duration(nil), j.runs...)
-	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
-	return sorted[len(sorted)/2], true
+	return j.runs[len(j.runs)/2], true
 }
 
 // ran notes what a finished task took. Only starts that this leader saw count.
@@ -38,7 +36,8 @@
 		t.m.judge(float64(took) / float64(e))
 	}
 	if len(t.job.runs) < 64 {
-		t.job.runs = append(t.job.runs, took)
+		at, _ := slices.BinarySearch(t.job.runs, took)
+		t.job.runs = slices.Insert(t.job.runs, at, took)
 	}
 }
 
@@ -58,7 +57,7 @@
 		return
 	}
 	s.slowAt = s.now + time.Second
-	for _, m := range s.sortedMachines() {
+	for _, m := range s.order {
 		if m.slow || !m.adopted {
 			continue
 		}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -42,6 +42,8 @@
 	jobs     map[string]*job
 	active   map[string]*job
 	machines map[string]*machine
+	order    []*machine // all machines by name: whatever goes over them goes in this order
+	odd      []*machine // those with tasks that they shouldn't have
 }
 
 // New makes the state of a controller that starts at now.
@@ -114,7 +116,7 @@
 	s.settleDown()
 	s.pumpSync()
 	s.pumpWriter()
-	if s.dirty && s.Leading() {
+	if s.dirty && s.now >= s.nextRound && s.Leading() {
 		s.dispatch()
 	}
 	return s.out
@@ -138,7 +140,9 @@
 	s.reachOut()
 	s.cloudTick()
 	s.shareCounts()
-	if s.waiting() && s.now >= s.nextRound {
+	if s.now >= s.idleRound && s.waiting() {
+		// Time alone can make a task ripe or end its wait in a local queue.
+		s.idleRound = s.now + s.cfg.ReportEvery/6
 		s.dirty = true
 	}
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -47,9 +47,11 @@
 
 	Tuning
 
-	// Budget starts the time budget of one round of decisions; the returned
-	// function says whether it is used up. Nil means no limit.
-	Budget func() func() bool
+	// Budget is the time that one round of decisions may take (0: any), and
+	// Stopwatch starts a measurement whose result tells how much has passed.
+	// Nil: no time passes.
+	Budget    time.Duration
+	Stopwatch func() func() time.Duration
 }
 
 // Tuning holds what operators may set themselves.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,9 +58,10 @@
 		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{},
 		logs: rate.NewLimiter(linesPerSecond, 10*linesPerSecond)}
 	cfg := set.Core(boot)
-	cfg.Budget = func() func() bool {
-		end := n.Now() + set.Budget
-		return func() bool { return n.Now() >= end }
+	cfg.Budget = set.Budget
+	cfg.Stopwatch = func() func() time.Duration {
+		began := n.Now()
+		return func() time.Duration { return n.Now() - began }
 	}
 	n.state = core.New(cfg, n.Now())
 	report := cfg.ReportEvery
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -45,6 +46,7 @@
 	Gang     bool          // goes only when all its tasks fit now
 	Waiting  int           // tasks in the global queue
 	Skips    int           // times that a later task went first
+	Ref      any           // whatever the caller needs to find its own record
 	holding  bool          // a machine is kept free for it in this round
 }
 
@@ -62,14 +64,16 @@
 	ID       string
 	Free     Resources
 	Capacity Resources
-	Rate     float64 // open fetch rate, GB a second
-	Running  []Running
+	Rate     float64   // open fetch rate, GB a second
+	Running  []Running // soonest end first
 	Images   *Cache
 	Fetching []Fetch // fetches under way
 	Local    []Queued
 	Price    float64 // an hour, for all of it
 	Stays    float64 // CPUs of services on it: it can't be given back soon
+	Ref      any     // whatever the caller needs to find its own record
 	held     bool    // kept free in this round for a task at its skip limit
+	class    int     // of its price by the CPU, in this round
 }
 
 // Fetch is an image on its way to a machine.
@@ -158,6 +162,12 @@
 // holds says whether j's image is on m or on its way there.
 func (m *Machine) holds(j *Job) bool { return m.Images.Has(j.Image) || m.fetches(j.Image) }
 
+// Add notes one more running task, keeping Running in the order of the ends.
+func (m *Machine) Add(r Running) {
+	at := sort.Search(len(m.Running), func(i int) bool { return m.Running[i].End > r.End })
+	m.Running = slices.Insert(m.Running, at, r)
+}
+
 // Wait estimates how long until m has room for one more task of j behind its
 // local queue.
 func (m *Machine) Wait(now time.Duration, j *Job) time.Duration {
@@ -168,12 +178,10 @@
 	if m.Free.Fits(need) {
 		return 0
 	}
-	ends := append([]Running(nil), m.Running...)
-	sort.Slice(ends, func(a, b int) bool { return ends[a].End < ends[b].End })
 	free := m.Free
 	last := now
-	queue := append(append([]Queued(nil), m.Local...), Queued{Job: j})
-	for _, r := range ends {
+	next := 0 // of the local queue
+	for _, r := range m.Running {
 		if r.End == Never {
 			break
 		}
@@ -183,11 +191,11 @@
 		}
 		last = max(last, end)
 		free = free.Add(r.Need)
-		for len(queue) > 0 && free.Fits(queue[0].Job.Need) {
-			free = free.Sub(queue[0].Job.Need)
-			queue = queue[1:]
+		for next < len(m.Local) && free.Fits(m.Local[next].Job.Need) {
+			free = free.Sub(m.Local[next].Job.Need)
+			next++
 		}
-		if len(queue) == 0 {
+		if next == len(m.Local) && free.Fits(j.Need) {
 			return last - now
 		}
 	}
@@ -208,9 +216,12 @@
 // Run makes one round of decisions. Jobs must be in queue order (rank, then
 // arrival). It returns true if the round came to its end.
 func (r *Round) Run(now time.Duration, jobs []*Job, machines []*Machine, env Env) bool {
+	classify(machines)
 	for _, m := range machines {
 		m.held = false
-		r.serveLocal(now, m, env)
+		if len(m.Local) > 0 {
+			r.serveLocal(now, m, env)
+		}
 	}
 	start := 0
 	if r.resume {
@@ -225,32 +236,50 @@
 	for _, j := range jobs {
 		j.holding = false
 	}
+	// Most machines of a busy fleet have no room for anything that waits: they
+	// are looked at once a round, not once a task.
+	roomy := withRoom(jobs[start:], machines)
 	for i := start; i < len(jobs); i++ {
 		j := jobs[i]
+		if j.Waiting == 0 {
+			continue
+		}
+		if env.Spent() {
+			r.resume, r.last = true, j.ID
+			return false
+		}
 		if j.Gang {
-			if env.Spent() {
-				r.resume, r.last = true, j.ID
-				return false
-			}
 			gang(now, j, machines, env)
 			continue
 		}
-		for j.Waiting > 0 {
-			if env.Spent() {
-				r.resume, r.last = true, j.ID
-				return false
-			}
-			if !env.UnderLimit(j) {
-				break // passed without counting a skip
-			}
-			if !r.one(now, jobs[:i], j, machines, env) {
-				break
-			}
+		if !r.job(now, jobs[:i], j, machines, roomy, env) {
+			r.resume, r.last = true, j.ID
+			return false
 		}
 	}
 	return true
 }
 
+// withRoom lists the machines that have room for the least that any job asks
+// for in each respect.
+func withRoom(jobs []*Job, machines []*Machine) []*Machine {
+	least := Resources{math.Inf(1), math.Inf(1), math.Inf(1)}
+	for _, j := range jobs {
+		if j.Waiting > 0 {
+			least.CPUs = min(least.CPUs, j.Need.CPUs)
+			least.GPUs = min(least.GPUs, j.Need.GPUs)
+			least.MemoryGB = min(least.MemoryGB, j.Need.MemoryGB)
+		}
+	}
+	var roomy []*Machine
+	for _, m := range machines {
+		if m.Free.Fits(least) {
+			roomy = append(roomy, m)
+		}
+	}
+	return roomy
+}
+
 // gang sends all tasks of j on their way, or none of them. It knows neither
 // local queues nor skips.
 func gang(now time.Duration, j *Job, machines []*Machine, env Env) {
@@ -300,82 +329,76 @@
 	m.Local = kept
 }
 
-// one sends one task of j on its way. ahead are the jobs before it.
-func (r *Round) one(now time.Duration, ahead []*Job, j *Job, machines []*Machine, env Env) bool {
-	passed := earlier(ahead, j, env)
-	for _, a := range passed {
-		if a.Skips >= r.cfg.SkipLimit && !a.holding {
-			r.hold(now, a, machines, env)
-		}
+// job sends tasks of j on their way, as many as the rule lets go now. ahead
+// are the jobs before it. False: the round's budget is used up. The tasks are
+// alike, so the machines are ranked for all of them at once, and a placement
+// changes the rank of one machine only.
+func (r *Round) job(now time.Duration, ahead []*Job, j *Job, machines, roomy []*Machine, env Env) bool {
+	if !env.UnderLimit(j) {
+		return true // passed without counting a skip
 	}
-	var hit, free, busy *Machine
-	var freeCost, busyCost = Never, Never
-	for _, m := range machines {
-		if m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
-			continue
-		}
-		if m.Free.Fits(j.Need) {
-			if m.Images.Has(j.Image) {
-				if hit == nil || better(m, hit, j) {
-					hit = m
-				}
-				continue
+	c := newChoices(now, j, roomy, env)
+	var passed []*Job
+	if len(c.list) > 0 {
+		passed = earlier(ahead, j, env)
+	}
+	for first := true; j.Waiting > 0; first = false {
+		if !first {
+			if env.Spent() {
+				return false
 			}
-			cost := m.fetchTime(now, j)
-			if free == nil || cost < freeCost || cost == freeCost && better(m, free, j) {
-				free, freeCost = m, cost
+			if !env.UnderLimit(j) {
+				return true
 			}
-			continue
 		}
-		if m.holds(j) {
-			if w := m.Wait(now, j); w < Never {
-				if cost := max(w, m.fetchTime(now, j)); cost < busyCost {
-					busy, busyCost = m, cost
-				}
+		for _, a := range passed {
+			if a.Skips >= r.cfg.SkipLimit && !a.holding {
+				r.hold(now, a, machines, env)
 			}
 		}
-	}
-	if hit != nil {
+		atLimit := j.Skips >= r.cfg.SkipLimit
+		best, ok := c.best(env)
+		if !ok {
+			// Without a roomy machine there is nothing to compare with: the
+			// dispatcher runs when a task waits and a machine has room for it.
+			// A task that took to a holder's queue then was stuck behind one
+			// estimate while machines became free elsewhere.
+			if atLimit && !j.holding && len(roomy) > 0 {
+				r.hold(now, j, machines, env)
+			}
+			return true
+		}
 		path := Hit
-		if len(passed) > 0 {
+		switch {
+		case best.hit && len(passed) > 0:
 			path = SkipHit
-		}
-		if !env.Place(j, hit, path) {
-			return false
-		}
-		skip(passed)
-		return true
-	}
-	atLimit := j.Skips >= r.cfg.SkipLimit
-	if free != nil && (atLimit || freeCost <= busyCost) {
-		// Only a hit may overtake on the ordinary path. The exception: the
-		// tasks ahead found no machine in this very round, so holding this
-		// one back would leave the machine idle and help nobody.
-		path := Fetched
-		if atLimit {
+		case best.hit:
+		case atLimit:
 			path = AtLimit
-		} else if len(passed) > 0 {
-			path = Passing
+		default:
+			if busy, cost := c.soonestHolder(machines, env); cost < best.cost {
+				busy.Local = append(busy.Local, Queued{Job: j, Until: now + max(cost, time.Second)})
+				j.Waiting--
+				c.holderChanged(busy)
+				continue
+			}
+			// Only a hit may overtake on the ordinary path. The exception: the
+			// tasks ahead found no machine in this very round, so holding this
+			// one back would leave the machine idle and help nobody.
+			path = Fetched
+			if len(passed) > 0 {
+				path = Passing
+			}
 		}
-		if !env.Place(j, free, path) {
-			return false
+		if !env.Place(j, best.m, path) {
+			return true
 		}
-		skip(passed)
-		return true
-	}
-	// Without a roomy machine there is nothing to compare with: the dispatcher
-	// runs when a task waits and a machine has room for it. A task that took
-	// to a holder's queue then was stuck behind one estimate while machines
-	// became free elsewhere.
-	if busy != nil && free != nil && !atLimit {
-		busy.Local = append(busy.Local, Queued{Job: j, Until: now + max(busyCost, time.Second)})
-		j.Waiting--
-		return true
-	}
-	if atLimit && !j.holding {
-		r.hold(now, j, machines, env)
+		for _, a := range passed {
+			a.Skips++
+		}
+		c.placed()
 	}
-	return false
+	return true
 }
 
 // hold keeps the machine that should have room soonest free for a task at its
@@ -409,30 +432,50 @@
 	return out
 }
 
-func skip(passed []*Job) {
-	for _, a := range passed {
-		a.Skips++
-	}
-}
-
 // better orders machines that serve j equally soon. Work is drawn together on
 // the machines that are cheapest by the CPU, then on those that services keep
 // anyway, then on the fullest, so that the others run empty and can be given
 // back.
 func better(a, b *Machine, j *Job) bool {
-	if pa, pb := a.perCPU(), b.perCPU(); math.Abs(pa-pb) > 0.2*max(pa, pb) {
-		return pa < pb
+	return before(a, b, leftover(a, j), leftover(b, j))
+}
+
+func before(a, b *Machine, leftA, leftB float64) bool {
+	if a.class != b.class {
+		return a.class < b.class
 	}
 	if sa, sb := a.Stays > 0, b.Stays > 0; sa != sb {
 		return sa
 	}
-	la, lb := leftover(a, j), leftover(b, j)
-	if math.Abs(la-lb) > slack {
-		return la < lb
+	if math.Abs(leftA-leftB) > slack {
+		return leftA < leftB
 	}
 	return a.ID < b.ID
 }
 
+// classify sorts the machines' prices by the CPU into classes: prices that
+// follow one another within a fifth are alike.
+func classify(machines []*Machine) {
+	var prices []float64
+	for _, m := range machines {
+		if p := m.perCPU(); !slices.Contains(prices, p) {
+			prices = append(prices, p)
+		}
+	}
+	slices.Sort(prices)
+	class := make([]int, len(prices))
+	for i := 1; i < len(prices); i++ {
+		class[i] = class[i-1]
+		if prices[i] > 1.2*prices[i-1] {
+			class[i]++
+		}
+	}
+	for _, m := range machines {
+		at, _ := slices.BinarySearch(prices, m.perCPU())
+		m.class = class[at]
+	}
+}
+
 func (m *Machine) perCPU() float64 { return m.Price / max(m.Capacity.CPUs, 1) }
 
 func leftover(m *Machine, j *Job) float64 {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -54,7 +54,7 @@
 	if !j.Endless {
 		end = b.now + m.fetchTime(b.now, j) + j.Estimate
 	}
-	m.Running = append(m.Running, Running{j.Need, end})
+	m.Add(Running{j.Need, end})
 	if left, ok := b.limit[j.ID]; ok {
 		b.limit[j.ID] = left - j.Need.CPUs
 	}
@@ -99,7 +99,7 @@
 		if f[3] != "ever" {
 			end = time.Duration(num(3)) * time.Second
 		}
-		m.Running = append(m.Running, Running{Resources{CPUs: num(2)}, end})
+		m.Add(Running{Resources{CPUs: num(2)}, end})
 		m.Free.CPUs -= num(2)
 	case "job": // job ID TASKS CPUS IMAGE GB ESTIMATE [RANK]
 		j := &Job{ID: f[1], Waiting: int(num(2)), Need: Resources{CPUs: num(3)}, Image: f[4], ImageGB: num(5),
