--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -24,6 +24,8 @@
 	// again before, with pauses that grow.
 	refused  map[offerKey]*refusal
 	returned map[string]time.Duration
+	zones    map[string]zoneState     // as of the last second
+	silentAt map[string]time.Duration // since when a zone is out of reach
 }
 
 type offerKey struct {
@@ -188,13 +190,24 @@
 		return
 	}
 	var hosts []string
-	idle := 0
+	s.zones = s.zoneView()
+	service := s.serviceNeed()
+	room := 0
+	for _, m := range s.order {
+		room += s.serviceRoomOn(m, service)
+	}
+	idle := 1 + len(s.order)/16 // of idle machines at a time
 	for _, m := range s.order {
 		if len(hosts) >= 100 {
 			break
 		}
 		switch {
-		case m.returning, m.dead, s.deaf(m), s.overdue(m):
+		case m.returning, m.dead, s.overdue(m):
+			hosts = append(hosts, m.host)
+		case s.zones[m.zone].silent:
+			// Cut off, most likely: what is there goes on working by itself or
+			// will, and a machine that lost its work keeps its images.
+		case s.deaf(m):
 			hosts = append(hosts, m.host)
 		case m.lapsed:
 			// Not while nobody reports: then it is rather us who are cut off.
@@ -208,8 +221,9 @@
 		case m.slow && len(m.tasks) == 0 && len(m.strangers) == 0:
 			hosts = append(hosts, m.host)
 		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
-			if s.settled && s.idleEnough(m) && idle == 0 && s.spareWithout(m) {
-				idle++ // one at a time: the spare room is counted anew
+			if own := s.serviceRoomOn(m, service); s.settled && idle > 0 && s.idleEnough(m) && (own == 0 || room-own >= s.cfg.SpareServices) {
+				idle--
+				room -= own
 				hosts = append(hosts, m.host)
 			}
 		default:
@@ -313,36 +327,77 @@
 	return true
 }
 
-// serviceNeed is what a typical service task of now takes.
-func (s *State) serviceNeed() (*job, bool) {
+// serviceNeed is a job with the most demanding service tasks of now, or nil.
+func (s *State) serviceNeed() *job {
 	var best *job
 	for _, j := range s.active {
 		if j.Kind == model.Service && j.rank == 0 && (best == nil || j.CPUs > best.CPUs || j.CPUs == best.CPUs && j.arrival < best.arrival) {
 			best = j
 		}
 	}
-	return best, best != nil
+	return best
 }
 
-// spareWithout says whether room for services stays when m is returned.
-func (s *State) spareWithout(m *machine) bool {
-	j, ok := s.serviceNeed()
-	if !ok || m.spot {
-		return true
+// serviceRoomOn is for how many of the service tasks of j m has room, up to
+// what is to be kept free.
+func (s *State) serviceRoomOn(m *machine, j *job) int {
+	if j == nil || m.spot || !s.usable(m) {
+		return 0
 	}
 	need := sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
-	room := 0
-	for _, o := range s.machines {
-		if o == m || !s.usable(o) || o.spot {
+	n := 0
+	for free := m.view.Free; n < s.cfg.SpareServices && free.Fits(need); free = free.Sub(need) {
+		n++
+	}
+	return n
+}
+
+// zoneState is what this leader hears of a zone's machines.
+type zoneState struct {
+	machines, heard int
+	silent          bool
+}
+
+// zoneView finds the zones that are out of reach as a whole: most of their
+// machines, and at least a few, don't report. Nothing is rented there nor
+// counted on, and nothing returned, since what looks lost is only cut off;
+// but not for ever.
+func (s *State) zoneView() map[string]zoneState {
+	zones := map[string]zoneState{}
+	for _, m := range s.order {
+		if !m.rostered || m.returning {
 			continue
 		}
-		for free := o.view.Free; free.Fits(need); free = free.Sub(need) {
-			room++
+		z := zones[m.zone]
+		z.machines++
+		if m.up && s.now-m.heard < s.silence() {
+			z.heard++
 		}
+		zones[m.zone] = z
 	}
-	return room >= s.cfg.SpareServices
+	for _, name := range ordered(zones) {
+		z := zones[name]
+		if z.machines < 4 || z.heard*2 >= z.machines {
+			delete(s.silentAt, name)
+			continue
+		}
+		if s.silentAt == nil {
+			s.silentAt = map[string]time.Duration{}
+		}
+		if _, ok := s.silentAt[name]; !ok {
+			s.silentAt[name] = s.now
+			s.log(slog.LevelInfo, "zone out of reach", "zone", name, "machines", z.machines, "heard", z.heard, "term", s.tenure.Term)
+		}
+		z.silent = s.now-s.silentAt[name] < silentLeases*s.cfg.Lease
+		zones[name] = z
+	}
+	return zones
 }
 
+// silentLeases is for how many leases a zone may be out of reach before its
+// machines are given up.
+const silentLeases = 16
+
 // soonestBoot is the boot time of the type that is up first.
 func (s *State) soonestBoot() time.Duration {
 	boot := 0.0
@@ -367,7 +422,7 @@
 		w.Patient = !s.pressing(j)
 		wants = append(wants, w)
 	}
-	if j, ok := s.serviceNeed(); ok && s.cfg.SpareServices > 0 {
+	if j := s.serviceNeed(); j != nil && s.cfg.SpareServices > 0 {
 		spare := &job{Job: j.Job}
 		spare.Spread, spare.Zone = false, ""
 		wants = append(wants, s.want(spare, s.cfg.SpareServices))
@@ -380,6 +435,9 @@
 	have := map[string]int{}
 	for _, m := range s.order {
 		have[m.zone]++
+		if s.zones[m.zone].silent {
+			continue
+		}
 		if m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
 			continue
 		}
@@ -480,6 +538,9 @@
 	for i := range s.typeList {
 		t := s.types[s.typeList[i].Name]
 		for _, zone := range t.ZonesAvail {
+			if s.zones[zone].silent {
+				continue
+			}
 			for _, spot := range []bool{false, true} {
 				if r := s.refused[offerKey{t.Name, zone, spot}]; r != nil && s.now < r.until {
 					continue
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -161,9 +161,13 @@
 // usable says whether m may be given new tasks.
 func (s *State) usable(m *machine) bool {
 	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && m.recallAt == 0 && m.typ != nil &&
-		s.now >= m.downUntil && s.now-m.lastBeat < 2*s.cfg.ReportEvery+s.cfg.Lease/8
+		s.now >= m.downUntil && s.now-m.lastBeat < s.silence()
 }
 
+// silence is how long a machine may go without a report before it counts as
+// silent.
+func (s *State) silence() time.Duration { return 2*s.cfg.ReportEvery + s.cfg.Lease/8 }
+
 // refreshView works out m's free room and what runs on it, if anything has
 // changed since it was last done.
 func (s *State) refreshView(m *machine) {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -159,6 +159,36 @@
 	}
 }
 
+// vouch lets this node support a candidate though it has just started and
+// has forgotten its promises. Waiting them out cost the workers a fifth of
+// their lease after a crash, while another controller was out of reach and
+// couldn't say that it counts on none of them. See the package election for
+// why the conditions suffice: the term's version was read since the start, and
+// its holder is this node's own earlier life or has said that it is free.
+func (s *State) vouch(node string, term, stamp uint64) {
+	if s.voter.Awake(s.now) || !s.loaded || stamp != s.termStamp {
+		return
+	}
+	if p := s.peers[s.termNode]; s.termStamp == 0 || s.termNode == s.cfg.Self || p != nil && p.free {
+		s.voter.Vouch(node, term)
+	}
+}
+
+// buryEarlierLife ends at once what is left of a leadership that this node had
+// before it started anew: its key, and the promises given to it. Nobody acts
+// on them any more, and waiting them out would cost the workers their leases.
+func (s *State) buryEarlierLife() {
+	if s.leaderNode != s.cfg.Self || s.tenure != nil {
+		return
+	}
+	if s.leaderGrant != 0 {
+		s.store(StoreCall{Op: StoreRevoke, Lease: s.leaderGrant}, func(StoreDone) {})
+	}
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgRelease, Term: s.leaderTerm}})
+	}
+}
+
 // campaign keeps a leadership up or tries to win one.
 func (s *State) campaign() {
 	if s.tenure != nil && s.electedAt != 0 {
@@ -185,7 +215,7 @@
 		term = max(term, p.top)
 	}
 	term++
-	s.tenure = election.NewTenure(s.ecf, s.now, term)
+	s.tenure = election.NewTenure(s.ecf, s.now, term, s.termStamp)
 	s.claimAt, s.grant, s.bidding = 0, 0, false
 	s.nextBid = s.now + s.ecf.Promise // candidacy ends here
 	s.bid()
@@ -204,6 +234,11 @@
 		return
 	}
 	t := s.tenure
+	if t.Stamp != s.termStamp {
+		// Promises were given for the version before.
+		s.stepDown("another term was won meanwhile")
+		return
+	}
 	if s.grant == 0 {
 		s.bidding = true
 		sent := s.now
@@ -225,10 +260,10 @@
 	sent := s.grantAt
 	s.store(StoreCall{
 		Op:     StoreTxn,
-		Guards: []Guard{{keyTerm, s.termStamp}, {keyLeader, 0}},
+		Guards: []Guard{{keyTerm, t.Stamp}, {keyLeader, 0}},
 		Then: []Change{
-			{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term})},
-			{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Lease: s.grant},
+			{Key: keyTerm, Value: raw(termValue{t.Term, s.cfg.Self})},
+			{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Lease: s.grant},
 		},
 	}, func(d StoreDone) {
 		if s.tenure != t {
@@ -246,10 +281,10 @@
 			return
 		}
 		// Before the term is applied: else it would look won by another.
-		s.firstTerm = s.termStamp == 0 // nobody has led before
+		s.firstTerm = t.Stamp == 0 // nobody has led before
 		s.electedAt, s.electedRev = s.now, d.Rev
-		s.apply(Item{Key: keyTerm, Value: raw(map[string]uint64{"term": t.Term}), Stamp: d.Rev})
-		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
+		s.apply(Item{Key: keyTerm, Value: raw(termValue{t.Term, s.cfg.Self}), Stamp: d.Rev})
+		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Stamp: d.Rev})
 		s.claimAt, s.touchAt = 0, s.now
 		s.log(slog.LevelInfo, "elected", "term", t.Term)
 		s.catchUp()
@@ -292,11 +327,12 @@
 func (s *State) claim(every time.Duration) {
 	s.claimAt = s.now + every
 	t := s.tenure
+	s.vouch(s.cfg.Self, t.Term, t.Stamp)
 	if s.voter.Grant(s.now, s.cfg.Self, t.Term) {
 		t.Promised(s.now, s.cfg.Self, s.now)
 	}
 	for _, p := range s.cfg.Peers {
-		s.emit(PeerOut{p, PeerMsg{Kind: MsgClaim, Term: t.Term, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}})
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgClaim, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}})
 	}
 }
 
@@ -392,7 +428,7 @@
 		s.store(StoreCall{
 			Op:     StoreTxn,
 			Guards: []Guard{{keyTerm, s.termStamp}, {keyLeader, 0}},
-			Then:   []Change{{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Lease: d.Lease}},
+			Then:   []Change{{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Lease: d.Lease}},
 		}, func(d StoreDone) {
 			if s.tenure != t {
 				return
@@ -400,7 +436,7 @@
 			s.touching = false
 			if d.Status == 200 {
 				t.Renewed(s.now, sent)
-				s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term}), Stamp: d.Rev})
+				s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Stamp: d.Rev})
 			}
 		})
 	})
@@ -436,6 +472,7 @@
 			cut = true
 			s.log(slog.LevelInfo, "refusing support to a leader without the state service", "leader", from, "term", m.Term, "its_age", m.StoreAge, "own_age", s.storeAge())
 		}
+		s.vouch(from, m.Term, m.Stamp)
 		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
 		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
 			StoreOK: s.storeOK(), Top: max(s.term, s.voter.Top())}})
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -37,9 +37,11 @@
 	hasTouch bool
 
 	termStamp   uint64
+	termNode    string // who won it
 	term        uint64
 	leaderNode  string
 	leaderTerm  uint64
+	leaderGrant uint64
 	leaderStamp uint64
 	leaderGone  time.Duration // when the key was last seen to go
 	typesStamp  uint64
@@ -107,6 +109,7 @@
 			}
 			s.loading, s.loaded = false, true
 			s.rev = max(s.rev, rev)
+			s.buryEarlierLife()
 			s.log(slog.LevelInfo, "state loaded", "rev", s.rev, "jobs", len(s.jobs), "machines", len(s.machines))
 		})
 	}
@@ -217,20 +220,18 @@
 	}
 	switch {
 	case it.Key == keyTerm:
-		var v struct {
-			Term uint64 `json:"term"`
-		}
+		var v termValue
 		if json.Unmarshal(it.Value, &v) == nil {
-			s.term, s.termStamp = max(s.term, v.Term), it.Stamp
+			s.term, s.termStamp, s.termNode = max(s.term, v.Term), it.Stamp, v.Node
 		}
 		s.superseded()
 	case it.Key == keyLeader:
-		s.leaderNode, s.leaderTerm, s.leaderStamp = "", 0, 0
+		s.leaderNode, s.leaderTerm, s.leaderGrant, s.leaderStamp = "", 0, 0, 0
 		s.leaderGone = s.now
 		if !it.Removed {
 			var v leaderValue
 			if json.Unmarshal(it.Value, &v) == nil {
-				s.leaderNode, s.leaderTerm, s.leaderStamp = v.Node, v.Term, it.Stamp
+				s.leaderNode, s.leaderTerm, s.leaderGrant, s.leaderStamp = v.Node, v.Term, v.Grant, it.Stamp
 			}
 		}
 	case it.Key == keyTypes:
@@ -255,7 +256,15 @@
 	return s.stamps[key]
 }
 
+// leaderValue is the leader's key, kept by the lease Grant.
 type leaderValue struct {
-	Node string `json:"node"`
+	Node  string `json:"node"`
+	Term  uint64 `json:"term"`
+	Grant uint64 `json:"grant,omitempty"`
+}
+
+// termValue is the last term that was won, and by whom.
+type termValue struct {
 	Term uint64 `json:"term"`
+	Node string `json:"node,omitempty"`
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -14,7 +14,12 @@
 //
 // A process forgets its promises when it ends. It therefore sleeps after a
 // start until the longest of them has run out, or until every other
-// controller has said that it holds none that it counts on.
+// controller has said that it holds none that it counts on. Asleep, it may
+// still support a candidate whose key will be guarded by the very version of
+// the term that this process has read since its start, if the holder of that
+// term counts on none of its earlier promises: no other leader can be acting,
+// and no other candidate that counts on them can win that version any more
+// once this one has.
 package election
 
 import "time"
@@ -36,6 +41,9 @@
 	term   uint64
 	until  time.Duration
 	top    uint64 // highest term ever supported
+	// The candidate that may be supported while asleep.
+	vouchedNode string
+	vouchedTerm uint64
 }
 
 // NewVoter starts a voter at now. Its first promise waits for the longest one
@@ -48,13 +56,17 @@
 // since this process began, that it counts on no promise of an earlier life.
 func (v *Voter) Wake() { v.wakeAt = 0 }
 
+// Vouch lets the voter support node's candidacy for term while it sleeps. The
+// caller has made sure of what the package comment demands.
+func (v *Voter) Vouch(node string, term uint64) { v.vouchedNode, v.vouchedTerm = node, term }
+
 func (c Config) stretch(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*2*c.Drift) + time.Millisecond
 }
 
 // Grant promises node support for term, if no other promise stands against it.
 func (v *Voter) Grant(now time.Duration, node string, term uint64) bool {
-	if now < v.wakeAt || term < v.top {
+	if now < v.wakeAt && (node != v.vouchedNode || term != v.vouchedTerm) || term < v.top {
 		return false
 	}
 	if node != v.node && now < v.until {
@@ -86,8 +98,11 @@
 
 // Tenure is the acting side: a candidacy that may become leadership.
 type Tenure struct {
-	cfg     Config
-	Term    uint64
+	cfg  Config
+	Term uint64
+	// Stamp is the version of the term before, as known when the candidacy
+	// began: the key is won under a guard on it, and promises name it.
+	Stamp   uint64
 	began   time.Duration
 	keySent time.Duration // sending of the request that last renewed the key
 	hasKey  bool
@@ -96,9 +111,10 @@
 	ended   bool
 }
 
-// NewTenure starts a candidacy for term at now.
-func NewTenure(cfg Config, now time.Duration, term uint64) *Tenure {
-	return &Tenure{cfg: cfg, Term: term, began: now, support: map[string]time.Duration{}}
+// NewTenure starts a candidacy for term at now; stamp is the version of the
+// term before.
+func NewTenure(cfg Config, now time.Duration, term, stamp uint64) *Tenure {
+	return &Tenure{cfg: cfg, Term: term, Stamp: stamp, began: now, support: map[string]time.Duration{}}
 }
 
 // Promised notes a supporter's promise; sent is when it was asked for.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -60,12 +60,12 @@
 }
 
 func TestTenureNeedsMajorityThenKey(t *testing.T) {
-	n := NewTenure(cfg, 0, 7)
+	n := NewTenure(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	if n.Elected(ms(10), 0) {
 		t.Fatal("elected by one of three")
 	}
-	n = NewTenure(cfg, 0, 7)
+	n = NewTenure(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	n.Promised(ms(5), "b", 0)
 	if n.Entitled(ms(6)) {
@@ -77,7 +77,7 @@
 }
 
 func TestEitherHoldsCarriesOn(t *testing.T) {
-	n := NewTenure(cfg, 0, 7)
+	n := NewTenure(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	n.Promised(0, "b", 0)
 	if !n.Elected(ms(10), 0) {
@@ -109,7 +109,7 @@
 }
 
 func TestPromiseOfAnEarlierCandidacyDoesNotCount(t *testing.T) {
-	n := NewTenure(cfg, ms(100), 7)
+	n := NewTenure(cfg, ms(100), 7, 0)
 	n.Promised(ms(110), "a", ms(100))
 	n.Promised(ms(110), "b", ms(90)) // asked for before this candidacy
 	if n.Supported(ms(120)) {
