--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,6 +56,7 @@
 			MemoryMB  float64 `json:"ram_mb"`
 			Files     int     `json:"fd_limit"`
 		} `json:"quota"`
+		SkewMS float64 `json:"skew_ms"`
 	} `json:"facts"`
 }
 
@@ -188,6 +189,9 @@
 			return fmt.Errorf("%s: %v is not above 0", f.field, f.value)
 		}
 	}
+	if pr.SkewMS < 0 {
+		return fmt.Errorf("facts.skew_ms: %v is below 0", pr.SkewMS)
+	}
 	if pr.Cloud.ListLagS < 0 {
 		return fmt.Errorf("facts.cloud.list_lag_s: %v is below 0", pr.Cloud.ListLagS)
 	}
@@ -293,6 +297,7 @@
 	c := core.Config{
 		Self: s.Name, Boot: boot, Teams: map[string]core.Team{},
 		ReportEvery: seconds(p.Workers.ReportS), Lease: seconds(p.Workers.LeaseS), CancelIn: seconds(p.Workers.CancelS),
+		Skew:     seconds(p.SkewMS / 1000),
 		StoreRPS: p.State.RPS, StoreWrites: p.State.WriteRPS,
 		ValueBytes: int(p.State.ValueKB * 1024), TxnOps: p.State.TxnOps,
 		CloudRPS: p.Cloud.RPS, ListLag: seconds(p.Cloud.ListLagS),
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -77,7 +77,7 @@
 		if s.stamp(keyTypes) != 0 && !changed {
 			return
 		}
-		s.put(&write{change: Change{Key: keyTypes, Value: raw(d.Types)}, deadline: s.now + userWait, done: func(outcome) {}})
+		s.put(&write{change: Change{Key: keyTypes, Value: raw(d.Types)}, class: classRoster, deadline: s.now + userWait, done: func(outcome) {}})
 	})
 }
 
@@ -218,6 +218,8 @@
 			if s.now-m.hiredAt > s.bootLimit(m) {
 				hosts = append(hosts, m.host)
 			}
+		case !m.rostered && s.now-m.heard > 2*s.cfg.Lease, s.muteTooLong(m):
+			hosts = append(hosts, m.host)
 		case m.slow && len(m.tasks) == 0 && len(m.strangers) == 0:
 			hosts = append(hosts, m.host)
 		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
@@ -304,12 +306,7 @@
 		s.returned = map[string]time.Duration{}
 	}
 	s.returned[host] = s.now
-	if m.rostered {
-		s.put(&write{
-			change: Change{Key: dirMachine + host, Remove: true},
-			leader: s.tenure.Term, deadline: s.now + time.Hour, done: func(outcome) {},
-		})
-	}
+	s.strike(m)
 	s.dirty = true
 	s.checkSettled()
 }
@@ -320,7 +317,7 @@
 	if !ok {
 		return false
 	}
-	if s.now-at > 5*s.cfg.ListLag+time.Minute {
+	if s.now-at > 5*s.cfg.ListLag+32*s.cfg.Lease {
 		delete(s.returned, host)
 		return false
 	}
@@ -442,6 +439,9 @@
 			continue
 		}
 		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
+		if m.up && (m.mute.is || s.now-m.heard >= s.silence()) {
+			continue // perhaps gone: not to be counted on
+		}
 		if m.up {
 			s.refreshView(m)
 			c.Free = m.view.Free
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -160,7 +160,7 @@
 
 // usable says whether m may be given new tasks.
 func (s *State) usable(m *machine) bool {
-	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && m.recallAt == 0 && m.typ != nil &&
+	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && !m.mute.is && m.recallAt == 0 && m.typ != nil &&
 		s.now >= m.downUntil && s.now-m.lastBeat < s.silence()
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -248,7 +248,7 @@
 		}
 	}
 	s.put(&write{
-		change: Change{Key: key, Value: value}, leader: s.tenure.Term, deadline: s.now + time.Hour, extra: extra,
+		change: Change{Key: key, Value: value}, leader: s.tenure.Term, deadline: s.now + time.Hour, extra: extra, class: classEnd,
 		done: func(r outcome) {
 			j.finishing = false
 			if r == written {
@@ -296,6 +296,9 @@
 		change:   Change{Key: dirProgress + j.ID + "/" + strconv.Itoa(n), Value: raw(map[string]string{"b": base64.StdEncoding.EncodeToString(b)})},
 		leader:   s.tenure.Term,
 		deadline: s.now + time.Hour,
+		class:    classBitmap,
+		// Written after the job's end it would stay for ever.
+		moot: func() bool { return j.final() || j.finishing },
 		done: func(r outcome) {
 			c.writing = false
 			if r != written {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -38,10 +38,14 @@
 	idleRound  time.Duration
 	drainAt    time.Duration
 	bitmapsAt  time.Duration
-	cutShort   int                        // rounds that ran out of budget
-	unseen     []*machine                 // not accounted for, as of this round
-	views      []*sched.Machine           // buffer of a round
-	beats      []heldBeat                 // reports to be answered after the next round
+	cutShort   int              // rounds that ran out of budget
+	unseen     []*machine       // not accounted for, as of this round
+	views      []*sched.Machine // buffer of a round
+	beats      []heldBeat       // reports to be answered after the next round
+	pages      map[int]*page    // of the roster
+	rosterAt   time.Duration
+	quietAt    time.Duration
+	directs    int                        // direct commands under way
 	teams      map[string]sched.Resources // what each team's tasks take
 	countsAt   time.Duration
 	slowAt     time.Duration
@@ -115,10 +119,12 @@
 	s.tenure, s.grant, s.ready, s.settled, s.electedAt, s.touching = nil, 0, false, false, 0, false
 	s.nextBid = s.now + s.pause()
 	s.answerBeats()
-	for _, m := range s.machines {
+	for _, m := range s.order {
+		s.proven(m, false)
 		m.forgetTerm()
 	}
-	s.odd, s.teams = nil, nil
+	s.odd, s.teams, s.directs = nil, nil, 0
+	s.shareWrites(false)
 	for _, j := range s.active {
 		j.forgetTerm()
 	}
@@ -304,6 +310,7 @@
 			return
 		}
 		s.ready = true
+		s.shareWrites(true)
 		s.takeOver()
 	})
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"strings"
@@ -50,13 +49,18 @@
 	seen         uint64 // highest epoch that it has shown
 	fence        uint64 // low bits of the epoch in use
 
-	up         bool // has reported, in this term
-	adopted    bool // has shown an epoch of this term: its list is complete
-	lapsed     bool // its lease has surely run out
-	rostered   bool
-	rosterBusy bool
-	standing   bool // the operators' own, there before us: never returned for being idle
-	returning  bool
+	up       bool // has reported, in this term
+	adopted  bool // has shown an epoch of this term: its list is complete
+	lapsed   bool // its lease has surely run out
+	cleared  bool // nothing from before this term can be on it
+	rostered bool // in the state service, so that a successor knows of it
+	page     int  // of the roster; 0: none yet
+	ownKey   bool // on the roster by a key of its own, as former versions wrote it
+	// quiet is since when it hasn't been answered, as wanted in the roster (0:
+	// no mark), quietStored the mark that may be there.
+	quiet, quietStored int64
+	standing           bool // the operators' own, there before us: never returned for being idle
+	returning          bool
 	// returnDoubt: a return had no answer, so the machine can't be counted on.
 	returnDoubt bool
 	returnTold  bool
@@ -74,6 +78,11 @@
 	tasks     map[string]*task
 	strangers map[string]model.TaskReport
 
+	proof   *heldBeat // a report that waits for the machine's own word
+	mute    muteness
+	told    uint64 // epoch of the last answer to a report, and that report
+	toldSeq uint64
+
 	direct    bool          // a direct command is under way
 	directAt  time.Duration // no direct command before
 	doubt     uint64        // epoch of a direct command without an answer
@@ -82,16 +91,6 @@
 	draining  bool // kept for a job that waits for its tasks to end, not for preempted ones
 }
 
-// rosterValue is a machine in the state service: written before the machine
-// is given its first task, so that a successor knows whom to ask.
-type rosterValue struct {
-	Endpoint string `json:"endpoint"`
-	Type     string `json:"type"`
-	Zone     string `json:"zone"`
-	Spot     bool   `json:"spot,omitempty"`
-	Standing bool   `json:"standing,omitempty"`
-}
-
 func (s *State) machine(host string) *machine {
 	m := s.machines[host]
 	if m == nil {
@@ -144,35 +143,20 @@
 
 // forgetTerm drops what only the leader of a term may rely on.
 func (m *machine) forgetTerm() {
-	m.up, m.adopted, m.lapsed, m.returning, m.direct, m.rosterBusy = false, false, false, false, false, false
+	m.up, m.adopted, m.lapsed, m.cleared, m.returning, m.direct = false, false, false, false, false, false
 	m.returnDoubt, m.returnTold = false, false
 	m.tasks = map[string]*task{}
 	m.strangers = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
 	m.keptFor, m.slow, m.slowSigns = nil, false, 0
+	m.proof, m.mute = nil, muteness{}
+	if !m.rostered {
+		m.page = 0 // the page that it was meant for may never have been written
+	}
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
 	m.stale, m.unsent = true, false
 }
 
-func (s *State) rosterChanged(host string, it Item) {
-	if it.Removed {
-		if m := s.machines[host]; m != nil {
-			m.rostered = false
-			if !s.Leading() {
-				s.drop(host)
-			}
-		}
-		return
-	}
-	var v rosterValue
-	if json.Unmarshal(it.Value, &v) != nil {
-		return
-	}
-	m := s.machine(host)
-	m.rostered, m.standing = true, v.Standing
-	s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
-}
-
 // takeOver begins a term: every machine that a former leader may have given
 // tasks is asked, and fenced, by an empty command under the new epoch.
 func (s *State) takeOver() {
@@ -180,6 +164,7 @@
 	s.attempts, s.hires, s.beatAt = 0, 0, s.now
 	s.settled = false
 	s.paths = map[sched.Path]int{}
+	s.pages, s.rosterAt, s.quietAt = map[int]*page{}, 0, 0
 	s.teams, s.odd, s.beats = map[string]sched.Resources{}, nil, nil
 	for _, m := range s.order {
 		if !m.rostered {
@@ -187,7 +172,11 @@
 			continue
 		}
 		m.forgetTerm()
-		m.lastBeat, m.idleSince, m.hiredAt = s.electedAt, s.now, s.now
+		m.lastBeat, m.heard, m.quiet = s.lastAnswered(m), s.electedAt, m.quietStored
+		m.idleSince, m.hiredAt = s.now, s.now
+		if m.page > 0 {
+			s.page(m.page)
+		}
 	}
 	for _, id := range ordered(s.active) {
 		j := s.active[id]
@@ -222,44 +211,108 @@
 		return
 	}
 	r := &e.Report
-	_, known := s.machines[r.Host]
-	m := s.machine(r.Host)
-	if !known {
-		m.standing = s.foundFirst()
+	if s.recentlyReturned(r.Host) {
+		// A late copy: the cloud has confirmed that the machine is gone.
+		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"machine was returned"}})
+		return
 	}
-	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
 	if r.Epoch>>fenceBits > s.tenure.Term {
 		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.tenure.Term)
 		s.stepDown("a worker has seen a higher term")
 		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"superseded"}})
 		return
 	}
-	if r.Session < m.session || m.lapsed && r.Session == m.session {
+	_, known := s.machines[r.Host]
+	m := s.machine(r.Host)
+	if !known {
+		m.standing = s.foundFirst()
+	}
+	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
+	h := heldBeat{req: e.Req, m: m, r: r, at: s.now}
+	switch {
+	case r.Session < m.session || m.lapsed && r.Session == m.session && m.session != 0:
 		// Of a session that is over: nothing may renew that lease.
-		for _, p := range r.Tasks {
-			s.lateDone(p)
-		}
+		s.lateDones(r)
 		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"session is over"}})
+	case r.Session == m.session && r.Seq <= m.seq:
+		s.overtaken(h)
+	case m.heard != 0 && s.now-m.heard >= s.silence() && m.endpoint != "" && (m.direct || s.directs < maxDirects):
+		s.prove(h)
+	case m.lapsed && m.session == 0:
+		// Lost before it was ever heard of in this term: only its own word
+		// tells a report of now from one of before.
+		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"busy"}})
+	default:
+		s.accept(h)
+	}
+}
+
+// overtaken answers a report that is older than what its machine has shown
+// since: the answer to a direct command came first, or the report is a late
+// copy. Only the first kind has a worker waiting for the answer, which may
+// renew its lease; it was sent before the newer message came, so that counts
+// as the last contact, and not now: a copy says nothing of now.
+func (s *State) overtaken(h heldBeat) {
+	m := h.m
+	s.lateDones(h.r)
+	if !s.unquiet(m) {
+		s.beats = append(s.beats, h)
 		return
 	}
-	s.beatAt = s.now
-	if r.Session == m.session && r.Seq <= m.seq {
-		// Overtaken by the answer to a direct command. Its list is old, but
-		// the worker is there and its lease may be renewed.
-		for _, p := range r.Tasks {
-			s.lateDone(p)
-		}
-		m.lastBeat = s.now
-		s.emit(Reply{Req: e.Req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
+	m.lastBeat = max(m.lastBeat, m.heard)
+	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
+}
+
+// prove asks a machine that hasn't been heard of for a while, or never, before
+// its report is believed: it may be a late copy, and the machine dead or
+// another leader's business long since. A copy believed would hold the tasks
+// of a dead machine for a lease more.
+func (s *State) prove(h heldBeat) {
+	m := h.m
+	if m.proof != nil {
+		s.emit(Reply{Req: m.proof.req, Status: 503, Body: Problem{"overtaken"}})
+	}
+	m.proof = &h
+	if !m.direct {
+		s.command(m, nil, nil)
+	}
+}
+
+// proven goes on with a report that waited for a sign of life.
+func (s *State) proven(m *machine, alive bool) {
+	h := m.proof
+	if h == nil {
 		return
 	}
-	m.lastBeat = s.now
+	m.proof = nil
+	switch {
+	case !alive || s.machines[m.host] != m || h.r.Session < m.session || m.lapsed && h.r.Session == m.session:
+		s.lateDones(h.r)
+		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"machine does not answer"}})
+	case h.r.Session == m.session && h.r.Seq <= m.seq:
+		s.overtaken(*h)
+	default:
+		s.accept(*h)
+	}
+}
+
+// accept takes a report as news of its machine.
+func (s *State) accept(h heldBeat) {
+	m, r := h.m, h.r
+	s.beatAt = s.now
+	answered := m.lastBeat
+	if r.Session > m.session && m.session != 0 && !m.lapsed && s.now-answered < s.cfg.Lease/2 {
+		// Its lease ran out though it was answered all the time.
+		s.setMute(m, "its lease ran out though it was answered")
+	}
 	s.report(m, r, true)
-	if !m.rostered {
-		s.enroll(m)
+	s.unheard(m, r)
+	if m.mute.is && !s.probeMute(m) {
+		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
+		return
 	}
-	h := heldBeat{e.Req, m, r}
-	if s.dirty && len(s.beats) < maxHeldBeats {
+	m.lastBeat = s.now
+	if !s.unquiet(m) || s.dirty && len(s.beats) < maxHeldBeats {
 		// Place first, so that what was just freed is filled by this answer,
 		// and together with what other reports free in the same moment.
 		s.beats = append(s.beats, h)
@@ -268,52 +321,55 @@
 	s.answerBeat(h)
 }
 
-// heldBeat is a report whose answer waits for the next round of decisions.
+func (s *State) lateDones(r *model.Report) {
+	for _, p := range r.Tasks {
+		id, i, ok := model.SplitTask(p.Task)
+		if j := s.jobs[id]; ok && j != nil && p.State == model.TaskExited && p.Cause == model.CauseDone {
+			s.finished(j, i)
+		}
+	}
+}
+
+// heldBeat is a report whose answer waits for the next round of decisions, or
+// until its machine's mark is off the roster.
 type heldBeat struct {
 	req uint64
 	m   *machine
 	r   *model.Report
+	at  time.Duration
 }
 
-// maxHeldBeats bounds the reports that wait for a round.
-const maxHeldBeats = 1000
+// maxHeldBeats bounds the reports that wait for a round, maxDirects the direct
+// commands under way: all machines at once would use up the sockets.
+const (
+	maxHeldBeats = 1000
+	maxDirects   = 64
+)
 
 func (s *State) answerBeat(h heldBeat) {
-	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session {
+	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session || h.m.lapsed || !s.unquiet(h.m) {
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"overtaken"}})
 		return
 	}
-	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(h.m), s.orders(h.m, h.r)}, Until: s.tenure.Until()})
+	m := h.m
+	m.told, m.toldSeq = s.epoch(m), max(m.toldSeq, h.r.Seq)
+	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), s.orders(m, h.r)}, Until: s.tenure.Until()})
 }
 
+// answerBeats answers the held reports, but for those whose machine's mark is
+// still being taken off the roster.
 func (s *State) answerBeats() {
 	beats := s.beats
 	s.beats = nil
 	for _, h := range beats {
+		if s.Leading() && h.m.quietStored != 0 && s.now-h.at < s.cfg.ReportEvery {
+			s.beats = append(s.beats, h)
+			continue
+		}
 		s.answerBeat(h)
 	}
 }
 
-func (s *State) lateDone(p model.TaskReport) {
-	id, i, ok := model.SplitTask(p.Task)
-	if j := s.jobs[id]; ok && j != nil && p.State == model.TaskExited && p.Cause == model.CauseDone {
-		s.finished(j, i)
-	}
-}
-
-// enroll writes m to the roster.
-func (s *State) enroll(m *machine) {
-	if m.rosterBusy || m.typ == nil {
-		return
-	}
-	m.rosterBusy = true
-	s.put(&write{
-		change: Change{Key: dirMachine + m.host, Value: raw(rosterValue{m.endpoint, m.typeName, m.zone, m.spot, m.standing})},
-		leader: s.tenure.Term, deadline: s.now + time.Hour,
-		done: func(r outcome) { m.rosterBusy = false; s.dirty = true },
-	})
-}
-
 // report takes in what a worker says, by its own report (own) or in answer to
 // a direct command. The caller has checked that it isn't older than the last.
 func (s *State) report(m *machine, r *model.Report, own bool) {
@@ -326,7 +382,7 @@
 			}
 		}
 		m.session = r.Session
-		m.lapsed = false
+		m.lapsed, m.toldSeq = false, 0
 	}
 	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
@@ -590,7 +646,7 @@
 		if m.lapsed || !m.rostered || s.now < s.leaseEnd(m) {
 			continue
 		}
-		m.lapsed, m.adopted = true, false
+		m.lapsed, m.adopted, m.cleared = true, false, true
 		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.tenure.Term, "tasks", len(m.tasks))
 		for _, name := range ordered(m.tasks) {
 			s.unbind(m.tasks[name], "lease ran out")
@@ -604,7 +660,7 @@
 }
 
 // unaccounted says whether m may run tasks that this leader hasn't seen.
-func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.lapsed }
+func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.cleared }
 
 // checkSettled notes when every task of older jobs is accounted for: each
 // machine of the roster has shown all it has under this term, or is gone.
@@ -666,8 +722,13 @@
 		if m.direct || m.endpoint == "" || s.now < m.directAt || m.returning {
 			continue
 		}
+		if s.directs >= maxDirects {
+			return // the others have their turn at the next tick
+		}
 		if !m.adopted {
-			if m.rostered && !m.lapsed {
+			// Once it has reported in this term, its next report shows the
+			// epoch, at once.
+			if m.rostered && !m.lapsed && (m.told == 0 || s.now-m.heard > s.cfg.ReportEvery) {
 				s.command(m, nil, nil)
 			}
 			continue
@@ -749,6 +810,7 @@
 func (s *State) command(m *machine, orders []model.Order, starts []*task) {
 	epoch, tenure := s.epoch(m), s.tenure
 	m.direct = true
+	s.directs++
 	for _, t := range starts {
 		t.issued, t.directEpoch = true, epoch
 	}
@@ -758,10 +820,16 @@
 	}
 	c.Call = s.call(func(res any) {
 		d := res.(AgentDone)
-		if s.tenure != tenure || s.machines[m.host] != m {
+		if s.tenure != tenure {
+			return
+		}
+		s.directs--
+		if s.machines[m.host] != m {
+			s.proven(m, false)
 			return
 		}
 		m.direct = false
+		defer func() { s.proven(m, d.Report != nil) }()
 		if d.Report == nil || d.Status != 200 && d.Status != 409 {
 			// Perhaps it runs later. Raise the fence, so that the next report
 			// rules that out, and leave the rest to the reports.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -14,7 +14,8 @@
 	keyLeader  = root + "leader"
 	keyTypes   = root + "types"
 	dirJobs    = root + "j/"
-	dirMachine = root + "m/"
+	dirMachine = root + "m/" // a machine of the roster, by versions before the pages
+	dirPage    = root + "r/"
 	// Sorts behind dirJobs: a listing brings a job before its progress.
 	dirProgress = root + "p/"
 )
@@ -176,7 +177,7 @@
 	if len(s.waiters) == 0 || s.syncing || s.now < s.syncAt {
 		return
 	}
-	if !s.loaded || s.storeAge() > 2*s.storeGap() {
+	if !s.loaded || s.storeAge() > s.storeGap() {
 		s.endSync(s.takeWaiters(), false)
 		return
 	}
@@ -243,6 +244,8 @@
 		if !it.Removed {
 			s.bitmapChanged(strings.TrimPrefix(it.Key, dirProgress), it)
 		}
+	case strings.HasPrefix(it.Key, dirPage):
+		s.pageChanged(strings.TrimPrefix(it.Key, dirPage), it)
 	case strings.HasPrefix(it.Key, dirMachine):
 		s.rosterChanged(strings.TrimPrefix(it.Key, dirMachine), it)
 	}
--- /dev/null
+++ b/internal/core/roster.go
@@ -0,0 +1,227 @@
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"time"
+)
+
+// rosterValue is a machine in the state service: written before the machine
+// is given its first task, so that a successor knows whom to ask.
+type rosterValue struct {
+	Endpoint string `json:"endpoint"`
+	Type     string `json:"type"`
+	Zone     string `json:"zone"`
+	Spot     bool   `json:"spot,omitempty"`
+	Standing bool   `json:"standing,omitempty"`
+	// Quiet says that the machine has not been answered since this time of day
+	// (ms): see markQuiet.
+	Quiet int64 `json:"quiet,omitempty"`
+}
+
+// bytes bounds what the machine takes in its page.
+func (m *machine) rosterBytes() int {
+	return 128 + len(m.host) + len(m.endpoint) + len(m.typeName) + len(m.zone)
+}
+
+// page is the leader's view of one slice of the roster. Many machines share a
+// key: one key each would take the largest fleets minutes to write.
+type page struct {
+	dirty, writing bool
+	bytes          int
+}
+
+// pageChanged takes a page of the roster.
+func (s *State) pageChanged(name string, it Item) {
+	n, err := strconv.Atoi(name)
+	if err != nil || n < 1 {
+		return
+	}
+	var hosts map[string]rosterValue
+	if !it.Removed {
+		if err := json.Unmarshal(it.Value, &hosts); err != nil {
+			s.log(slog.LevelError, "unreadable roster", "page", n, "error", err.Error())
+			return
+		}
+	}
+	for _, host := range ordered(hosts) {
+		v := hosts[host]
+		m := s.machine(host)
+		m.page, m.rostered, m.standing, m.quietStored = n, true, v.Standing, v.Quiet
+		s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
+	}
+	for _, m := range s.order {
+		if _, on := hosts[m.host]; m.page == n && m.rostered && !on {
+			m.page = 0
+			s.unroster(m)
+		}
+	}
+}
+
+// rosterChanged takes a machine's own key, as versions before the pages wrote
+// it. It stays until the machine goes.
+func (s *State) rosterChanged(host string, it Item) {
+	if it.Removed {
+		if m := s.machines[host]; m != nil && m.ownKey {
+			m.ownKey = false
+			if m.page == 0 {
+				s.unroster(m)
+			}
+		}
+		return
+	}
+	var v rosterValue
+	if json.Unmarshal(it.Value, &v) != nil {
+		return
+	}
+	m := s.machine(host)
+	m.ownKey, m.rostered, m.standing = true, true, v.Standing
+	s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
+}
+
+func (s *State) unroster(m *machine) {
+	m.rostered, m.quietStored = false, 0
+	if !s.Leading() {
+		s.drop(m.host)
+	}
+}
+
+// strike takes a machine that is gone off the roster.
+func (s *State) strike(m *machine) {
+	if p := s.pages[m.page]; p != nil {
+		p.dirty = true
+	}
+	if m.ownKey {
+		s.put(&write{
+			change: Change{Key: dirMachine + m.host, Remove: true}, class: classRoster,
+			leader: s.tenure.Term, deadline: s.now + time.Hour, done: func(outcome) {},
+		})
+	}
+}
+
+// keepRoster enrolls the machines that have shown themselves in this term and
+// writes the pages that have changed.
+func (s *State) keepRoster() {
+	if s.now < s.rosterAt {
+		return
+	}
+	s.rosterAt = s.now + s.cfg.ReportEvery/12
+	s.markQuiet()
+	for _, p := range s.pages {
+		p.bytes = 2
+	}
+	for _, m := range s.order {
+		if m.page > 0 {
+			s.page(m.page).bytes += m.rosterBytes()
+		}
+	}
+	for _, m := range s.order {
+		if m.rostered || m.page > 0 || !m.adopted || m.typ == nil {
+			continue
+		}
+		m.page = s.pageWithRoom(m.rosterBytes())
+		p := s.page(m.page)
+		p.bytes += m.rosterBytes()
+		p.dirty = true
+	}
+	for _, n := range ordered(s.pages) {
+		if p := s.pages[n]; p.dirty && !p.writing {
+			s.writePage(n, p)
+		}
+	}
+}
+
+func (s *State) page(n int) *page {
+	p := s.pages[n]
+	if p == nil {
+		p = &page{bytes: 2}
+		s.pages[n] = p
+	}
+	return p
+}
+
+// pageWithRoom finds a page for one more machine. Pages are kept to a quarter
+// of the largest value: each change rewrites one.
+func (s *State) pageWithRoom(bytes int) int {
+	limit := min(s.cfg.ValueBytes, txnBytes) / 4
+	for n := 1; ; n++ {
+		if p := s.pages[n]; p == nil || p.bytes+bytes <= limit {
+			return n
+		}
+	}
+}
+
+func (s *State) writePage(n int, p *page) {
+	hosts := map[string]rosterValue{}
+	for _, m := range s.order {
+		if m.page != n {
+			continue
+		}
+		hosts[m.host] = rosterValue{m.endpoint, m.typeName, m.zone, m.spot, m.standing, m.quiet}
+		if m.quiet != 0 {
+			m.quietStored = m.quiet // from now on it may be there
+		}
+	}
+	p.dirty, p.writing = false, true
+	key := dirPage + strconv.Itoa(n)
+	change := Change{Key: key, Value: raw(hosts)}
+	if len(hosts) == 0 {
+		change = Change{Key: key, Remove: true}
+	}
+	s.put(&write{
+		change: change, class: classRoster, leader: s.tenure.Term, deadline: s.now + time.Hour,
+		done: func(r outcome) {
+			p.writing = false
+			if r != written {
+				p.dirty = true
+			}
+			s.dirty = true
+			s.answerBeats()
+		},
+	})
+}
+
+// markQuiet writes down which machines haven't been answered for a while, and
+// since when. A successor would otherwise have to give each of them a whole
+// lease from its own election before it may start their tasks elsewhere: with
+// a zone cut off and the leader gone, that doubled the time for which the
+// zone's services were down. Once the mark may be in the state service the
+// machine is not answered before it has been taken away again.
+func (s *State) markQuiet() {
+	if s.cfg.Skew <= 0 || s.now < s.quietAt {
+		return // how far clocks are apart isn't known
+	}
+	s.quietAt = s.now + s.cfg.ReportEvery/2
+	for _, m := range s.order {
+		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < s.silence() {
+			continue
+		}
+		m.quiet = max(1, s.wallAt(m.lastBeat))
+		s.page(m.page).dirty = true
+	}
+}
+
+// unquiet says whether m may be answered; if its mark may be in the state
+// service, that is taken away first.
+func (s *State) unquiet(m *machine) bool {
+	if m.quiet != 0 {
+		m.quiet = 0
+		s.page(m.page).dirty = true
+	}
+	return m.quietStored == 0
+}
+
+// wallAt is the time of day at t, in ms, rounded up.
+func (s *State) wallAt(t time.Duration) int64 {
+	return s.wall - int64((s.wallRead-t)/time.Millisecond) + 1
+}
+
+// lastAnswered is the latest time at which a former leader may have answered m.
+func (s *State) lastAnswered(m *machine) time.Duration {
+	if m.quietStored == 0 || s.cfg.Skew <= 0 {
+		return s.electedAt
+	}
+	ago := time.Duration(s.wall-m.quietStored)*time.Millisecond + (s.now - s.wallRead) - 2*s.cfg.Skew
+	return min(s.electedAt, s.now-ago)
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -21,9 +21,10 @@
 	ecf election.Config
 	now time.Duration
 	// wall is the time of day at the last tick.
-	wall int64
-	out  []Effect
-	rnd  *rand.Rand
+	wall     int64
+	wallRead time.Duration // when that was
+	out      []Effect
+	rnd      *rand.Rand
 
 	calls map[uint64]func(any)
 	seq   uint64
@@ -67,9 +68,10 @@
 		// Each node keeps to its share by itself, so that no burst at one
 		// gets another's requests refused.
 		storeRate: rate.NewLimiter(rate.Limit(cfg.StoreRPS*0.95/nodes), max(1, int(cfg.StoreRPS*0.95/nodes))),
-		writeRate: rate.NewLimiter(rate.Limit(cfg.StoreWrites*0.95/nodes), max(1, int(cfg.StoreWrites*0.95/nodes))),
+		writeRate: rate.NewLimiter(1, 1),
 		cloudRate: rate.NewLimiter(rate.Limit(cfg.CloudRPS*0.8), max(1, int(cfg.CloudRPS*0.8))),
 	}
+	s.shareWrites(false)
 	s.replica.init()
 	s.lead.voter = election.NewVoter(ecf, now)
 	s.lead.peers = map[string]*peerState{}
@@ -92,7 +94,7 @@
 	s.out = nil
 	switch e := ev.(type) {
 	case Tick:
-		s.wall = max(s.wall, e.Wall)
+		s.wall, s.wallRead = e.Wall, s.now
 		s.tick()
 	case Submit:
 		s.submit(origin{req: e.Req}, e.Job, e.Wall)
@@ -136,6 +138,7 @@
 	s.lapses()
 	s.recalls()
 	s.findSlow()
+	s.keepRoster()
 	s.keepBitmaps()
 	s.reachOut()
 	s.cloudTick()
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -37,6 +37,7 @@
 	ReportEvery time.Duration
 	Lease       time.Duration
 	CancelIn    time.Duration
+	Skew        time.Duration // bound on how far the time of day is off; 0: not known
 
 	StoreRPS    float64
 	StoreWrites float64
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -2,7 +2,10 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // write is one guarded change on its way to the state service.
@@ -13,8 +16,21 @@
 	deadline time.Duration
 	done     func(outcome)
 	extra    []Change // removed along with it
+	class    class
+	moot     func() bool // no longer wanted, if set
 }
 
+// class is the order in which changes go out: no user waits behind the
+// leader's bulk.
+type class int
+
+const (
+	classUser class = iota
+	classEnd        // of jobs: users wait for that too
+	classRoster
+	classBitmap
+)
+
 type outcome int
 
 const (
@@ -34,7 +50,28 @@
 // put queues a change, guarded by the version that the replica knows.
 func (s *State) put(w *write) {
 	w.stamp = s.stamp(w.change.Key)
-	s.queue = append(s.queue, w)
+	s.enqueue(w)
+}
+
+func (s *State) enqueue(w *write) {
+	at := len(s.queue)
+	for at > 0 && s.queue[at-1].class > w.class {
+		at--
+	}
+	s.queue = slices.Insert(s.queue, at, w)
+}
+
+// shareWrites divides the state service's write rate: the leader has bulk to
+// write, the others only what users ask of them.
+func (s *State) shareWrites(leading bool) {
+	n := float64(s.ecf.Nodes)
+	part := 1 / (2 * n)
+	if leading {
+		part = 1 - part*(n-1)
+	}
+	rps := s.cfg.StoreWrites * 0.95 * part
+	s.writeRate.SetLimitAt(s.at(), rate.Limit(rps))
+	s.writeRate.SetBurstAt(s.at(), max(1, int(rps)))
 }
 
 const txnBytes = 48 << 10 // of the protocol's 64 KiB, leaving room for guards
@@ -54,7 +91,7 @@
 			w.done(failed)
 			continue
 		}
-		if s.now >= w.deadline {
+		if s.now >= w.deadline || w.moot != nil && w.moot() {
 			w.done(failed)
 			continue
 		}
@@ -74,12 +111,18 @@
 		size += len(w.change.Value) + 2*len(w.change.Key) + 64
 		batch = append(batch, w)
 	}
-	rest = append(rest, s.queue...)
+	late := s.queue
 	s.queue = append(batch[:len(batch):len(batch)], rest...)
+	for _, w := range late {
+		s.enqueue(w)
+	}
 	if len(batch) == 0 || !s.writeRate.AllowN(s.at(), min(ops, s.writeRate.Burst())) || !s.storeRate.AllowN(s.at(), 1) {
 		return
 	}
-	s.queue = rest
+	s.queue = s.queue[:0:0]
+	for _, w := range append(rest, late...) {
+		s.enqueue(w)
+	}
 	s.transact(batch, led)
 }
 
@@ -117,7 +160,11 @@
 			// 503 and 429: not executed. No answer: perhaps executed, perhaps
 			// later; the same guarded change can be tried again safely, since
 			// it either wins once or shows up in the conflict.
-			s.queue = append(batch, s.queue...)
+			waiting := s.queue
+			s.queue = batch
+			for _, w := range waiting {
+				s.enqueue(w)
+			}
 			s.writerAt = s.now + 100*time.Millisecond
 			if d.Status == 503 {
 				s.failUsers()
@@ -139,7 +186,9 @@
 		}
 		rest = append(rest, w)
 	}
-	s.queue = append(rest, s.queue...)
+	for _, w := range rest {
+		s.enqueue(w)
+	}
 }
 
 // resolve sorts out a transaction whose guards failed. The cause may be our
@@ -153,13 +202,13 @@
 		for _, w := range batch {
 			switch {
 			case !ok:
-				s.queue = append(s.queue, w)
+				s.enqueue(w)
 			case bad[w.change.Key]:
 				w.done(conflict)
 			case w.leader != 0 && bad[keyTerm]:
 				w.done(failed)
 			default:
-				s.queue = append(s.queue, w)
+				s.enqueue(w)
 			}
 		}
 		if bad[keyTerm] {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -95,17 +95,16 @@
 			})
 		}},
 		{rule: "ran_cancelled", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
-			if c, ok := e.(core.CloudCall); ok && c.Op == core.CloudReturn {
-				c.Hosts = nil // else the machine is returned before the time is up
-				return c
-			}
 			return edit(e, noKills)
 		}, setup: func(w *World) {
 			w.At(20*second, func() {
 				w.Users.Submit(model.Job{ID: "req-500000", Team: "t", Class: "c", Kind: model.Service, Priority: model.Prod,
 					Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "svc", ImageGB: 1}, 0)
 			})
-			w.At(60*second, func() { w.Users.Cancel("req-500000") })
+			w.At(60*second, func() {
+				w.Cloud.Out = true // else the machine is returned before the time is up
+				w.Users.Cancel("req-500000")
+			})
 		}},
 		{rule: "forgotten", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
 			if r, ok := e.(core.Reply); ok && r.Status == 200 && w.Now > 60*second {
