--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -26,6 +26,9 @@
 	returned map[string]time.Duration
 	zones    map[string]zoneState     // as of the last second
 	silentAt map[string]time.Duration // since when a zone is out of reach
+	zoneBack map[string]time.Duration // when one was last heard of again
+	// unseenNow is how many machines have still to show their tasks.
+	unseenNow int
 }
 
 type offerKey struct {
@@ -191,6 +194,12 @@
 	}
 	var hosts []string
 	s.zones = s.zoneView()
+	s.unseenNow = 0
+	for _, m := range s.order {
+		if s.unaccounted(m) {
+			s.unseenNow++
+		}
+	}
 	service := s.serviceNeed()
 	room := 0
 	for _, m := range s.order {
@@ -207,11 +216,11 @@
 		case s.zones[m.zone].silent:
 			// Cut off, most likely: what is there goes on working by itself or
 			// will, and a machine that lost its work keeps its images.
-		case s.deaf(m):
+		case s.deaf(m), s.missing(m):
 			hosts = append(hosts, m.host)
 		case m.lapsed:
 			// Not while nobody reports: then it is rather us who are cut off.
-			if s.now-s.leaseEnd(m) > s.cfg.Lease/2 && s.now-s.beatAt < 2*s.cfg.ReportEvery {
+			if s.now-max(s.leaseEnd(m), s.zoneBack[m.zone]) > s.cfg.Lease/2 && s.now-s.beatAt < 2*s.cfg.ReportEvery {
 				hosts = append(hosts, m.host)
 			}
 		case !m.up && !m.rostered:
@@ -375,11 +384,14 @@
 	for _, name := range ordered(zones) {
 		z := zones[name]
 		if z.machines < 4 || z.heard*2 >= z.machines {
-			delete(s.silentAt, name)
+			if _, ok := s.silentAt[name]; ok {
+				delete(s.silentAt, name)
+				s.zoneBack[name] = s.now // its machines come back one by one
+			}
 			continue
 		}
 		if s.silentAt == nil {
-			s.silentAt = map[string]time.Duration{}
+			s.silentAt, s.zoneBack = map[string]time.Duration{}, map[string]time.Duration{}
 		}
 		if _, ok := s.silentAt[name]; !ok {
 			s.silentAt[name] = s.now
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -479,6 +479,12 @@
 			cut = true
 			s.log(slog.LevelInfo, "refusing support to a leader without the state service", "leader", from, "term", m.Term, "its_age", m.StoreAge, "own_age", s.storeAge())
 		}
+		if s.tenure != nil && s.electedAt == 0 && !s.bidding && !cut && m.StoreOK &&
+			(m.Term > s.tenure.Term || m.Term == s.tenure.Term && from < s.cfg.Self) {
+			// Two candidates, each bound to itself, would wait for one
+			// another's promises until both give up.
+			s.stepDown("another candidate goes first")
+		}
 		s.vouch(from, m.Term, m.Stamp)
 		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
 		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -300,8 +300,7 @@
 func (s *State) accept(h heldBeat) {
 	m, r := h.m, h.r
 	s.beatAt = s.now
-	answered := m.lastBeat
-	if r.Session > m.session && m.session != 0 && !m.lapsed && s.now-answered < s.cfg.Lease/2 {
+	if r.Session > m.session && m.toldSeq != 0 && !m.lapsed && s.now-m.lastBeat < s.cfg.Lease/2 {
 		// Its lease ran out though it was answered all the time.
 		s.setMute(m, "its lease ran out though it was answered")
 	}
@@ -311,6 +310,9 @@
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
 		return
 	}
+	if !m.rostered && !m.adopted && !m.direct && s.directs < maxDirects && m.endpoint != "" {
+		s.command(m, nil, nil) // a new machine is of use as soon as it shows the epoch
+	}
 	m.lastBeat = s.now
 	if !s.unquiet(m) || s.dirty && len(s.beats) < maxHeldBeats {
 		// Place first, so that what was just freed is filled by this answer,
@@ -381,8 +383,11 @@
 				s.unbind(t, "new session")
 			}
 		}
-		m.session = r.Session
-		m.lapsed, m.toldSeq = false, 0
+		if m.lapsed {
+			// The new session has a lease of its own, which began before now.
+			m.lapsed, m.lastBeat = false, s.now
+		}
+		m.session, m.toldSeq = r.Session, 0
 	}
 	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
@@ -743,6 +748,14 @@
 	}
 }
 
+// missing says whether m, of which this term has heard nothing, is given up
+// though its lease may not be over: nearly all others have shown their tasks,
+// and every older job waits for the last of them. A lease for a handful of
+// machines that died with the former leader would hold up the whole fleet.
+func (s *State) missing(m *machine) bool {
+	return s.unaccounted(m) && m.session == 0 && s.now-s.electedAt > s.silence()/2+s.cfg.ReportEvery && s.unseenNow*32 <= len(s.order)
+}
+
 // deaf says whether m is given up before its lease is over: it carries
 // services, neither reports nor answers, and nearly all others do, so that it
 // is the machine and not this node that is out of reach. Waiting for the lease
