--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -96,7 +96,12 @@
 		}
 		v.Local = kept
 	}
-	if !s.round.Run(s.now, entries, env.views, env) {
+	held := s.stopForHits(queue, env)
+	whole := s.round.Run(s.now, entries, env.views, env)
+	for j, n := range held {
+		j.entry.Waiting += n
+	}
+	if !whole {
 		s.dirty = true // goes on where it stopped
 		if s.cutShort++; s.cutShort%4 != 0 {
 			return
@@ -158,9 +163,11 @@
 	return j.rank
 }
 
-// usable says whether m may be given new tasks.
+// usable says whether m may be given new tasks. While its mark as silent may
+// be on the roster it isn't: a session that has begun since has a lease that no
+// successor would know of.
 func (s *State) usable(m *machine) bool {
-	return m.adopted && m.rostered && !m.lapsed && !m.slow && !m.returning && !m.mute.is && m.recallAt == 0 && m.typ != nil &&
+	return m.adopted && m.rostered && m.quietStored == 0 && !m.lapsed && !m.slow && !m.returning && !m.mute.is && m.recallAt == 0 && m.typ != nil &&
 		s.now >= m.downUntil && s.now-m.lastBeat < s.silence()
 }
 
@@ -371,11 +378,69 @@
 			}
 		}
 		if n > 0 {
-			s.preemptFor(j, n, env, used)
+			s.preemptFor(j, n, func(*machine) bool { return true }, env, used)
 		}
 	}
 }
 
+// stopForHits makes room for prod work on machines that hold its image, where
+// fetching would take longer than its class has to start. The design compares
+// the wait at a holder with the fetch elsewhere: a holder whose lower work may
+// be stopped has next to no wait. It returns how many tasks of each job are
+// held back from the rule meanwhile.
+func (s *State) stopForHits(queue []*job, env *roundEnv) map[*job]int {
+	held := map[*job]int{}
+	var used map[string]sched.Resources
+	for _, j := range queue {
+		if j.rank != model.Rank(model.Prod) || j.Kind == model.Gang || !s.fetchTooLong(j) {
+			continue
+		}
+		hits, pending := 0, 0
+		holds := func(m *machine) bool { return m.view.Images.Has(j.Image) }
+		for _, v := range env.views {
+			m := v.Ref.(*machine)
+			kept := m.keptFor == j && !m.draining && s.now < m.keptUntil
+			switch {
+			case !holds(m) || !s.allowed(j, m):
+			case v.Free.Fits(j.entry.Need):
+				hits++
+			case kept:
+				pending++
+			}
+		}
+		n := j.entry.Waiting - hits - pending
+		if n > 0 {
+			if used == nil {
+				used = s.teamUse()
+			}
+			pending += s.preemptFor(j, n, holds, env, used)
+		}
+		if back := min(pending, j.entry.Waiting); back > 0 {
+			held[j] = back
+			j.entry.Waiting -= back
+		}
+	}
+	return held
+}
+
+// fetchTooLong says whether j, which may still start in the time that its
+// class has, would miss it by fetching its image.
+func (s *State) fetchTooLong(j *job) bool {
+	goal := s.cfg.Goals[j.Class].Start
+	left := goal - s.age(j)
+	if goal == 0 || left <= 0 {
+		return false
+	}
+	rate := 0.0
+	for i := range s.typeList {
+		if t := &s.typeList[i]; t.Fits(&j.Job) {
+			rate = max(rate, t.FetchRate)
+		}
+	}
+	// A fetch takes up to half as long again as its rate says.
+	return time.Duration(1.5*j.ImageGB/max(rate, 0.001)*float64(time.Second)) > left
+}
+
 // teamUse is what each team's tasks take now, without those being stopped.
 func (s *State) teamUse() map[string]sched.Resources {
 	used := map[string]sched.Resources{}
@@ -463,12 +528,16 @@
 }
 
 // preemptFor stops the least work, by what would be lost, that makes room for
-// n tasks of j, one on each machine.
-func (s *State) preemptFor(j *job, n int, env *roundEnv, used map[string]sched.Resources) {
+// n tasks of j, one on each machine that suits; it returns for how many.
+func (s *State) preemptFor(j *job, n int, suits func(*machine) bool, env *roundEnv, used map[string]sched.Resources) int {
 	var options []victims
+	zones := map[string]int{} // room being made, which counts for the spread
 	for _, v := range env.views {
 		m := v.Ref.(*machine)
-		if m.keptFor != nil && s.now < m.keptUntil || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+		if m.keptFor == j && !m.draining && s.now < m.keptUntil {
+			zones[m.zone]++
+		}
+		if m.keptFor != nil && s.now < m.keptUntil || !v.Capacity.Fits(j.entry.Need) || !suits(m) || !s.allowed(j, m) {
 			continue
 		}
 		if o, ok := s.victimsOn(m, j, used); ok {
@@ -478,10 +547,10 @@
 	sort.Slice(options, func(a, b int) bool {
 		return options[a].loss < options[b].loss || options[a].loss == options[b].loss && options[a].m.host < options[b].m.host
 	})
-	zones := map[string]int{} // room being made, which counts for the spread
+	made := 0
 	for _, o := range options {
-		if n <= 0 || !s.underLimit(j) {
-			return
+		if made >= n || !s.underLimit(j) {
+			break
 		}
 		if j.Spread && j.zones[o.m.zone]+zones[o.m.zone] >= j.ZoneCap() {
 			continue
@@ -490,7 +559,7 @@
 			continue // the tasks before have changed what a team is beyond its guarantee
 		}
 		zones[o.m.zone]++
-		n--
+		made++
 		for _, t := range o.take {
 			s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", o.m.host, "for", j.ID, "term", s.tenure.Term)
 			used[t.job.Team] = used[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
@@ -500,6 +569,7 @@
 		o.m.keptFor, o.m.draining, o.m.keptUntil = j, false, s.now+s.cfg.Lease/2
 		env.touch(o.m)
 	}
+	return made
 }
 
 func (s *State) mayStopAll(take []*task, j *job, used map[string]sched.Resources) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -47,6 +47,7 @@
 
 	session, seq uint64
 	seen         uint64 // highest epoch that it has shown
+	least        uint64 // a report that shows a lower epoch is no news
 	fence        uint64 // low bits of the epoch in use
 
 	up       bool // has reported, in this term
@@ -83,6 +84,7 @@
 	told    uint64 // epoch of the last answer to a report, and that report
 	toldSeq uint64
 
+	askedAt   time.Duration // when its word was last asked for
 	direct    bool          // a direct command is under way
 	directAt  time.Duration // no direct command before
 	doubt     uint64        // epoch of a direct command without an answer
@@ -148,6 +150,7 @@
 	m.tasks = map[string]*task{}
 	m.strangers = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
+	m.told, m.toldSeq, m.least, m.askedAt = 0, 0, 0, 0
 	m.keptFor, m.slow, m.slowSigns = nil, false, 0
 	m.proof, m.mute = nil, muteness{}
 	if !m.rostered {
@@ -230,12 +233,24 @@
 	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
 	h := heldBeat{req: e.Req, m: m, r: r, at: s.now}
 	switch {
+	case r.Epoch < m.least && (r.Session != m.session || r.Seq > m.seq):
+		// A worker's epoch only grows: this is from before it began anew, or it
+		// has just done so and nobody knows yet.
+		s.lateDones(r)
+		s.askAgain(m)
+		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"report is from another life of this machine"}})
 	case r.Session < m.session || m.lapsed && r.Session == m.session && m.session != 0:
 		// Of a session that is over: nothing may renew that lease.
 		s.lateDones(r)
+		s.askAgain(m)
 		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"session is over"}})
 	case r.Session == m.session && r.Seq <= m.seq:
 		s.overtaken(h)
+	case m.session != 0 && r.Session > m.session && m.endpoint != "":
+		// A new session ends all that was on the machine. That is not taken
+		// from a report alone: after the machine has begun anew, copies from
+		// its earlier life show higher sessions than the present one.
+		s.prove(h)
 	case m.heard != 0 && s.now-m.heard >= s.silence() && m.endpoint != "" && (m.direct || s.directs < maxDirects):
 		s.prove(h)
 	case m.lapsed && m.session == 0:
@@ -255,6 +270,7 @@
 func (s *State) overtaken(h heldBeat) {
 	m := h.m
 	s.lateDones(h.r)
+	s.askAgain(m)
 	if !s.unquiet(m) {
 		s.beats = append(s.beats, h)
 		return
@@ -263,6 +279,38 @@
 	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
 }
 
+// askAgain asks a machine whose report looks old for its own word: a worker
+// that has begun anew under the same name counts from the start again, and
+// must not be taken for its own late copy for ever.
+func (s *State) askAgain(m *machine) {
+	if m.direct || m.endpoint == "" || s.directs >= maxDirects || s.now < m.askedAt+s.cfg.ReportEvery {
+		return
+	}
+	m.askedAt = s.now
+	s.command(m, nil, nil)
+}
+
+// begunAnew takes in that a machine counts sessions or reports from the start
+// again. What it had is gone unless it shows it; only direct commands of its
+// former life may still reach it, which the fence and each task's epoch of
+// doubt take care of.
+func (s *State) begunAnew(m *machine, r *model.Report) {
+	s.log(slog.LevelInfo, "machine has begun anew", "host", m.host, "session", r.Session, "term", s.tenure.Term)
+	m.session, m.seq, m.seen = r.Session, 0, 0
+	m.told, m.toldSeq, m.mute, m.adopted = 0, 0, muteness{}, false
+	if m.lapsed {
+		m.lapsed, m.lastBeat = false, s.now
+	}
+	for _, t := range m.tasks {
+		// Answers to reports of the former life died with its connections.
+		t.issuedSeq, t.session = 0, r.Session
+	}
+	// Copies from the former life may show the same session and more reports:
+	// from now on only the epoch tells them from news.
+	s.raiseFence(m)
+	m.least = s.epoch(m)
+}
+
 // prove asks a machine that hasn't been heard of for a while, or never, before
 // its report is believed: it may be a late copy, and the machine dead or
 // another leader's business long since. A copy believed would hold the tasks
@@ -286,7 +334,7 @@
 	}
 	m.proof = nil
 	switch {
-	case !alive || s.machines[m.host] != m || h.r.Session < m.session || m.lapsed && h.r.Session == m.session:
+	case !alive || s.machines[m.host] != m || h.r.Session != m.session || m.lapsed:
 		s.lateDones(h.r)
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"machine does not answer"}})
 	case h.r.Session == m.session && h.r.Seq <= m.seq:
@@ -300,13 +348,9 @@
 func (s *State) accept(h heldBeat) {
 	m, r := h.m, h.r
 	s.beatAt = s.now
-	if r.Session > m.session && m.toldSeq != 0 && !m.lapsed && s.now-m.lastBeat < s.cfg.Lease/2 {
-		// Its lease ran out though it was answered all the time.
-		s.setMute(m, "its lease ran out though it was answered")
-	}
 	s.report(m, r, true)
 	s.unheard(m, r)
-	if m.mute.is && !s.probeMute(m) {
+	if m.mute.is {
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
 		return
 	}
@@ -376,6 +420,9 @@
 // a direct command. The caller has checked that it isn't older than the last.
 func (s *State) report(m *machine, r *model.Report, own bool) {
 	if r.Session > m.session {
+		if m.toldSeq != 0 && !m.lapsed && s.now-m.lastBeat < s.cfg.Lease/2 {
+			s.setMute(m, "its lease ran out though it was answered")
+		}
 		for _, name := range ordered(m.tasks) {
 			t := m.tasks[name]
 			if m.session != 0 && t.session < r.Session {
@@ -392,7 +439,9 @@
 	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
 	m.up = true
-	if r.Epoch >= s.epochBase() && !m.adopted && !m.lapsed {
+	m.least = max(m.least, r.Epoch)
+	s.hears(m, r)
+	if r.Epoch >= max(s.epochBase(), m.least) && !m.adopted && !m.lapsed {
 		m.adopted = true
 		s.dirty = true
 		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.tenure.Term, "tasks", len(r.Tasks))
@@ -404,6 +453,12 @@
 		}
 		m.recallAt = s.now + time.Duration(*r.Recall*float64(time.Second))
 	}
+	if !m.adopted {
+		// It may be a late copy from before this term: what it lists is not
+		// relied on, but for what has completed.
+		s.lateDones(r)
+		return
+	}
 	if len(m.strangers) > 0 {
 		clear(m.strangers)
 		m.stale = true
@@ -730,6 +785,9 @@
 		if s.directs >= maxDirects {
 			return // the others have their turn at the next tick
 		}
+		if m.quiet != 0 && s.directs >= maxDirects/4 {
+			continue // a zone that is cut off must not take all the turns
+		}
 		if !m.adopted {
 			// Once it has reported in this term, its next report shows the
 			// epoch, at once.
@@ -738,7 +796,7 @@
 			}
 			continue
 		}
-		if s.now-m.heard > 2*s.cfg.ReportEvery {
+		if s.now-m.heard > 2*s.cfg.ReportEvery || m.mute.is && m.seen < m.mute.epoch {
 			s.command(m, nil, nil) // is it there at all?
 			continue
 		}
@@ -822,6 +880,7 @@
 
 func (s *State) command(m *machine, orders []model.Order, starts []*task) {
 	epoch, tenure := s.epoch(m), s.tenure
+	session, seq := m.session, m.seq
 	m.direct = true
 	s.directs++
 	for _, t := range starts {
@@ -862,6 +921,10 @@
 			}
 		}
 		r := d.Report
+		if r.Session < session || r.Session == session && r.Seq <= seq {
+			// Older than what it had shown before it was asked.
+			s.begunAnew(m, r)
+		}
 		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
 			s.report(m, r, false)
 		}
--- a/internal/core/mute.go
+++ b/internal/core/mute.go
@@ -7,39 +7,32 @@
 	"mulleinfall/internal/model"
 )
 
-// A machine can be mute to us in one direction: its reports arrive, but
-// answers and commands don't reach it. It then looks healthy, while what is
-// sent to it never starts, its lease runs out, and each new session draws the
-// same work again because it holds the image. A report received is neither a
-// lease renewed nor an order carried out, so the leader looks for signs that
-// its answers arrive: the epoch that they carried and the starts.
+// A machine can be out of earshot: its reports arrive, but answers and
+// commands don't reach it. It then looks healthy, while what is sent to it
+// never starts, its lease runs out, and each new session draws the same work
+// again because it holds the image. A report received is neither a lease
+// renewed nor an order carried out, so the leader looks for signs that its
+// answers arrive: the epoch that they carried and the starts.
 
 // muteness is what a leader knows of that.
 type muteness struct {
-	is      bool
-	signs   int    // reports in a row that show nothing of our answers
-	session uint64 // in which it was found
-	epoch   uint64 // whoever shows it has heard us since
-	since   time.Duration
-	probeAt time.Duration // no answer before
-	pause   time.Duration
+	is    bool
+	signs int           // reports in a row that show nothing of our answers
+	times int           // how often it was found so
+	epoch uint64        // whoever shows it has heard us since
+	since time.Duration // the first time
+	until time.Duration // not trusted before
 }
 
 // muteSigns is how many reports in a row must show that an answer didn't
 // arrive: one can be lost.
 const muteSigns = 2
 
-// unheard looks for signs of our answers in a report that has just been taken.
+// unheard looks for signs of our answers in a machine's own report.
 func (s *State) unheard(m *machine, r *model.Report) {
 	switch {
-	case m.mute.is:
-		if r.Epoch >= m.mute.epoch {
-			s.log(slog.LevelInfo, "machine hears again", "host", m.host, "term", s.tenure.Term)
-			m.mute = muteness{}
-			s.dirty = true
-		}
-	case m.toldSeq == 0 || r.Seq <= m.toldSeq:
-		// Not answered in this session yet.
+	case m.mute.is || m.toldSeq == 0 || r.Seq <= m.toldSeq:
+		// Known, or not answered in this session yet.
 	case r.Epoch >= m.told && !s.unstarted(m, r):
 		m.mute.signs = 0
 	default:
@@ -60,28 +53,30 @@
 	return false
 }
 
-// setMute gives m no work and no answers until its session has ended; then it
-// is tried again, with pauses that grow.
+// setMute gives m no work and no answers any more, so that its session is sure
+// to end and its tasks can run elsewhere. It is trusted again once it shows an
+// epoch that only a command from now on carries, later each time.
 func (s *State) setMute(m *machine, why string) {
 	if m.mute.is {
 		return
 	}
-	s.log(slog.LevelInfo, "machine is out of earshot", "host", m.host, "why", why, "term", s.tenure.Term)
 	s.raiseFence(m)
-	m.mute = muteness{is: true, session: m.session, epoch: s.epoch(m), since: s.now, probeAt: s.now, pause: s.cfg.ReportEvery}
+	m.mute.is, m.mute.signs, m.mute.epoch = true, 0, s.epoch(m)
+	m.mute.until = s.now + time.Duration(m.mute.times)*s.cfg.Lease
+	if m.mute.times++; m.mute.times == 1 {
+		m.mute.since = s.now
+	}
+	s.log(slog.LevelInfo, "machine is out of earshot", "host", m.host, "why", why, "term", s.tenure.Term)
 	s.dirty = true
 }
 
-// probeMute says whether a report of m is answered, to see whether the answer
-// arrives. In the session in which it was found out none is: an answer that
-// arrives after all would renew a lease whose end is waited for.
-func (s *State) probeMute(m *machine) bool {
-	if m.session == m.mute.session || s.now < m.mute.probeAt {
-		return false
+// hears ends that when a report shows that a command has arrived.
+func (s *State) hears(m *machine, r *model.Report) {
+	if m.mute.is && r.Epoch >= m.mute.epoch && s.now >= m.mute.until {
+		m.mute.is = false
+		s.log(slog.LevelInfo, "machine hears again", "host", m.host, "term", s.tenure.Term)
+		s.dirty = true
 	}
-	m.mute.probeAt = s.now + m.mute.pause
-	m.mute.pause = min(2*m.mute.pause, 2*s.cfg.Lease)
-	return true
 }
 
 // muteTooLong says whether m is to be returned.
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -22,7 +22,9 @@
 	spec          model.Job
 	runTime       time.Duration
 	accepted      bool
-	asked         bool // its user asked to cancel it
+	at            time.Duration // first attempt to submit
+	began         time.Duration // first start of a task; 0: none
+	asked         bool          // its user asked to cancel it
 	done          map[string]bool
 	on            map[string]*Worker
 	toldDone      bool
@@ -74,6 +76,9 @@
 		c.broken("ran_cancelled", "%s starts", task)
 	}
 	t.on[task] = wk
+	if t.began == 0 {
+		t.began = c.w.Now
+	}
 	c.quota(j.Team)
 }
 
@@ -154,3 +159,89 @@
 	}
 	return
 }
+
+// beginWithin is what the protocol allows the largest jobs to begin.
+const beginWithin = 4 * time.Minute
+
+// Served checks at the end of a day that every class and team, and the largest
+// jobs of each class, had at least half of their accepted, uncancelled jobs
+// begun, and that the largest began in time.
+func (c *Checker) Served() {
+	type tally struct{ jobs, begun int }
+	count := map[string]*tally{}
+	add := func(group string, t *truth) {
+		g := count[group]
+		if g == nil {
+			g = &tally{}
+			count[group] = g
+		}
+		g.jobs++
+		if t.began != 0 {
+			g.begun++
+		}
+	}
+	largest := map[string]int{}
+	for _, t := range c.jobs {
+		largest[t.spec.Class] = max(largest[t.spec.Class], t.spec.Tasks)
+	}
+	for _, id := range sortedKeys(c.jobs) {
+		t := c.jobs[id]
+		if !t.accepted || t.asked {
+			continue
+		}
+		add("class "+t.spec.Class, t)
+		add("team "+t.spec.Team, t)
+		if t.spec.Tasks == largest[t.spec.Class] {
+			add("largest of "+t.spec.Class, t)
+			if (t.began == 0 && c.w.Now-t.at > beginWithin) || t.began-t.at > beginWithin {
+				c.broken("starved", "%s, a largest job of its class, had not begun %v after it was submitted", id, beginWithin)
+			}
+		}
+	}
+	for _, group := range sortedKeys(count) {
+		if g := count[group]; 2*g.begun < g.jobs {
+			c.broken("starved", "%s: %d of %d jobs begun", group, g.begun, g.jobs)
+		}
+	}
+}
+
+// Known has every node asked for every accepted job and checks the answers:
+// within the time given all must be right, and what wasn't cancelled is done
+// or runs.
+func (c *Checker) Known(within time.Duration) {
+	for _, id := range sortedKeys(c.jobs) {
+		t := c.jobs[id]
+		if !t.accepted {
+			continue
+		}
+		for _, n := range c.w.Nodes {
+			answered := false
+			asked := c.w.Now
+			var try func()
+			try = func() {
+				if answered || c.w.Now > asked+within {
+					return
+				}
+				sent := c.w.Now
+				n.ask("users", func(req uint64) core.Event { return core.Poll{Req: req, ID: id} }, func(r core.Reply) {
+					c.told(t, sent, r)
+					answered = answered || r.Status == 200
+				})
+				c.w.After(2*time.Second, try)
+			}
+			try()
+			c.w.At(asked+within, func() {
+				if !answered {
+					c.broken("forgotten", "%s: no answer from %s in %v", id, n.Name, within)
+				}
+			})
+		}
+		if t.spec.Kind == model.Service && !t.asked {
+			c.w.At(c.w.Now+within, func() {
+				if len(t.on) != t.spec.Tasks {
+					c.broken("forgotten", "%s: %d of %d replicas run", id, len(t.on), t.spec.Tasks)
+				}
+			})
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -47,6 +48,9 @@
 	Users   *Users
 	Check   *Checker
 
+	// Copies is the part of the workers' reports of which a copy comes late.
+	Copies float64
+
 	links map[[2]string]*link
 	Trace []string // what happened, for people to read
 	Tell  bool     // keep the trace
@@ -83,6 +87,7 @@
 		}},
 		Config: core.Config{
 			Teams:       map[string]core.Team{"t": {}, "tight": {}},
+			Skew:        time.Second,
 			ReportEvery: 1500 * time.Millisecond, Lease: 10 * time.Second, CancelIn: 30 * time.Second,
 			StoreRPS: 150, StoreWrites: 50, ValueBytes: 32 << 10, TxnOps: 12, CloudRPS: 6, ListLag: 5 * time.Second,
 			Tuning: core.DefaultTuning(),
@@ -191,7 +196,8 @@
 	asks  map[uint64]func(core.Reply)
 	req   uint64
 	Boots int
-	skew  float64
+	skew  float64 // of the steady clock
+	wall  float64 // of the time of day, in parts of its bound
 }
 
 // Up says whether the process runs.
@@ -214,6 +220,7 @@
 	n.Boots++
 	n.life++
 	n.skew = (n.w.Rnd.Float64() - 0.5) * core.Drift
+	n.wall = (n.w.Rnd.Float64() - 0.5) * 1.4
 	n.asks = map[uint64]func(core.Reply){}
 	n.State = core.New(cfg, n.clock())
 	n.w.tell("%s starts", n.Name)
@@ -221,14 +228,17 @@
 }
 
 // Crash kills the process; it starts again after the restart delay.
-func (n *Node) Crash() {
+func (n *Node) Crash() { n.CrashFor(n.w.Opt.Restart) }
+
+// CrashFor kills the process; it starts again after d.
+func (n *Node) CrashFor(d time.Duration) {
 	if n.State == nil {
 		return
 	}
 	n.w.tell("%s crashes", n.Name)
 	n.State = nil
 	n.life++
-	n.w.After(n.w.Opt.Restart, func() {
+	n.w.After(d, func() {
 		if n.State == nil {
 			n.Start()
 		}
@@ -239,7 +249,9 @@
 	if n.life != life || n.State == nil {
 		return
 	}
-	n.Step(core.Tick{Wall: n.w.Now.Milliseconds()})
+	// The time of day wanders within its bound.
+	off := (n.wall + 0.3*math.Sin(n.w.Now.Seconds()/17+float64(n.index))) * n.w.Opt.Config.Skew.Seconds()
+	n.Step(core.Tick{Wall: n.w.Now.Milliseconds() + 1e9 + int64(1000*off)})
 	n.w.After(50*time.Millisecond, func() { n.tick(life) })
 }
 
