Give lost replicas the start aim anew, so that holders make room for them

Cause: a third of naipe's replicas fall with a zone and were fetched anew, since their jobs were older than the aim on starting.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -424,10 +424,14 @@
 }
 
 // fetchTooLong says whether j, which may still start in the time that its
-// class has, would miss it by fetching its image.
+// class has, would miss it by fetching its image. A lost replica has that time
+// anew.
 func (s *State) fetchTooLong(j *job) bool {
 	goal := s.cfg.Goals[j.Class].Start
 	left := goal - s.age(j)
+	if j.lostAt != 0 {
+		left = max(left, j.lostAt+goal-s.now)
+	}
 	if goal == 0 || left <= 0 {
 		return false
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -45,6 +45,7 @@
 	retry   []int          // tasks to start again
 	entry   *sched.Job
 	runs    []time.Duration // what its finished tasks took, as this leader saw, in order
+	lostAt  time.Duration   // when a task last had to start again
 	errors  int             // exits with "error" in a row
 	retryAt time.Duration
 }
@@ -79,7 +80,7 @@
 
 func (j *job) forgetTerm() {
 	j.tasks, j.zones = map[int]*task{}, map[string]int{}
-	j.next, j.retry, j.errors, j.retryAt = 0, nil, 0, 0
+	j.next, j.retry, j.errors, j.retryAt, j.lostAt = 0, nil, 0, 0, 0
 	j.entry, j.runs = nil, nil
 	j.finishing = false
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -614,6 +614,7 @@
 			}
 		}
 		t.job.retry = append(t.job.retry, t.index)
+		t.job.lostAt = s.now
 		s.log(slog.LevelDebug, "task waits again", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.tenure.Term)
 	}
 }
