--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -311,7 +311,7 @@
 			g.Start = within
 		case o.Kind == "finished" && within > 0 && (g.Finish == 0 || within < g.Finish):
 			g.Finish = within
-		case o.Kind == "deadline" && o.Times > 0:
+		case o.Kind == "deadline" && o.Times > 0 && (g.Due == 0 || o.Times < g.Due):
 			g.Due = o.Times
 		}
 		c.Goals[o.Class] = g
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -491,19 +491,8 @@
 // there are, or for cheap ones: part of the time that its class leaves beyond
 // boot, fetch and run has passed.
 func (s *State) pressing(j *job) bool {
-	var within time.Duration
-	g := s.cfg.Goals[j.Class]
-	switch {
-	case j.Kind != model.Batch || g.Start > 0:
+	if j.Kind != model.Batch {
 		return true
-	case g.Finish > 0:
-		within = g.Finish
-	case g.Due > 0 && j.Due != nil:
-		within = time.Duration(g.Due * *j.Due * float64(time.Second))
-	case j.Due != nil:
-		within = time.Duration(*j.Due * float64(time.Second))
-	default:
-		within = s.cfg.CancelIn
 	}
 	boot, rate := 0.0, 0.0
 	for i := range s.typeList {
@@ -513,11 +502,28 @@
 		}
 	}
 	// Estimates and boot times are often exceeded by half.
-	need := 1.25*j.Estimate + 1.5*boot + j.ImageGB/max(rate, 0.001)
-	spare := within - time.Duration(need*float64(time.Second))
+	ready := 1.5*boot + j.ImageGB/max(rate, 0.001)
+	spare := s.within(j) - time.Duration((ready+1.25*j.Estimate)*float64(time.Second))
+	if start := s.cfg.Goals[j.Class].Start; start > 0 {
+		spare = min(spare, start-time.Duration(ready*float64(time.Second)))
+	}
 	return s.age(j) >= time.Duration(s.cfg.Patience*float64(spare))
 }
 
+// within is the time in which j should be done.
+func (s *State) within(j *job) time.Duration {
+	g := s.cfg.Goals[j.Class]
+	switch {
+	case g.Finish > 0:
+		return g.Finish
+	case g.Due > 0 && j.Due != nil:
+		return time.Duration(g.Due * *j.Due * float64(time.Second))
+	case j.Due != nil:
+		return time.Duration(*j.Due * float64(time.Second))
+	}
+	return s.cfg.CancelIn
+}
+
 func (s *State) want(j *job, n int) fleet.Want {
 	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
 	if j.Spread {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -146,6 +146,7 @@
 			}
 		}
 		j.entry.Waiting = n
+		j.entry.Steady = s.steady(j)
 		queue = append(queue, j)
 	}
 	sort.Slice(queue, func(a, b int) bool {
@@ -157,6 +158,15 @@
 	return queue
 }
 
+// steady says whether a task of j that has to begin anew halfway would miss
+// what its class expects.
+func (s *State) steady(j *job) bool {
+	if j.Kind != model.Batch || j.Checkpoint > 0 || s.cfg.Goals[j.Class] == (Goal{}) {
+		return false
+	}
+	return s.age(j)+time.Duration(2*j.Estimate*float64(time.Second)) > s.within(j)
+}
+
 // queueRank is a job's place ahead of the order of arrival: only prod work
 // goes ahead; among the rest the design's one queue by arrival holds.
 func queueRank(j *job) int {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -126,7 +126,7 @@
 	if endpoint != "" {
 		m.endpoint = endpoint
 	}
-	m.typeName, m.zone, m.spot = typ, zone, spot
+	m.typeName, m.zone, m.spot, m.view.Spot = typ, zone, spot, spot
 	if t := s.types[typ]; t != nil && m.typ != t {
 		m.typ = t
 		m.stale = true
@@ -765,6 +765,12 @@
 			continue
 		}
 		for _, t := range m.tasks {
+			if !t.killing && s.endsAfter(t, m.recallAt) {
+				// Its work is lost in any case: begun anew now rather than when
+				// the machine goes.
+				s.kill(t, 0)
+				continue
+			}
 			margin := time.Duration(t.job.SaveCost*float64(time.Second)) + s.cfg.ReportEvery
 			if !t.killing && s.now >= m.recallAt-margin {
 				s.kill(t, t.job.SaveCost*1.25)
@@ -773,6 +779,18 @@
 	}
 }
 
+// endsAfter says whether t, which can't save, will surely run beyond at.
+func (s *State) endsAfter(t *task, at time.Duration) bool {
+	if t.job.Kind != model.Batch || t.job.Checkpoint > 0 {
+		return false
+	}
+	if t.state != model.TaskRunning || t.since == 0 {
+		return t.state != ""
+	}
+	e, _ := t.job.expect()
+	return t.since+e*3/4 > at
+}
+
 // reachOut sends direct commands: to machines not heard of in this term, and
 // where tasks wait to be started or stopped.
 func (s *State) reachOut() {
--- a/internal/sched/choices.go
+++ b/internal/sched/choices.go
@@ -33,7 +33,7 @@
 	if a.cost != b.cost {
 		return a.cost < b.cost
 	}
-	return before(a.m, b.m, a.left, b.left)
+	return before(a.m, b.m, c.job, a.left, b.left)
 }
 func (c *choices) Swap(i, k int) { c.list[i], c.list[k] = c.list[k], c.list[i] }
 func (c *choices) Push(x any)    { c.list = append(c.list, x.(choice)) }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -44,6 +44,7 @@
 	Estimate time.Duration // run time; 0 for services
 	Endless  bool          // a service: runs until cancelled
 	Gang     bool          // goes only when all its tasks fit now
+	Steady   bool          // a task that has to begin anew would come too late
 	Waiting  int           // tasks in the global queue
 	Skips    int           // times that a later task went first
 	Ref      any           // whatever the caller needs to find its own record
@@ -70,6 +71,7 @@
 	Fetching []Fetch // fetches under way
 	Local    []Queued
 	Price    float64 // an hour, for all of it
+	Spot     bool    // the cloud may take it back
 	Stays    float64 // CPUs of services on it: it can't be given back soon
 	Ref      any     // whatever the caller needs to find its own record
 	held     bool    // kept free in this round for a task at its skip limit
@@ -432,15 +434,19 @@
 	return out
 }
 
-// better orders machines that serve j equally soon. Work is drawn together on
-// the machines that are cheapest by the CPU, then on those that services keep
+// better orders machines that serve j equally soon. Work that can't afford to
+// begin anew goes to machines that stay; the spot machines are left to what
+// can. Otherwise work is drawn together on the machines that are cheapest by the CPU, then on those that services keep
 // anyway, then on the fullest, so that the others run empty and can be given
 // back.
 func better(a, b *Machine, j *Job) bool {
-	return before(a, b, leftover(a, j), leftover(b, j))
+	return before(a, b, j, leftover(a, j), leftover(b, j))
 }
 
-func before(a, b *Machine, leftA, leftB float64) bool {
+func before(a, b *Machine, j *Job, leftA, leftB float64) bool {
+	if j.Steady && a.Spot != b.Spot {
+		return b.Spot
+	}
 	if a.class != b.class {
 		return a.class < b.class
 	}
