--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -383,7 +383,7 @@
 	}
 	for _, name := range ordered(zones) {
 		z := zones[name]
-		if z.machines < 4 || z.heard*2 >= z.machines {
+		if z.machines < 3 || z.heard*2 >= z.machines {
 			if _, ok := s.silentAt[name]; ok {
 				delete(s.silentAt, name)
 				s.zoneBack[name] = s.now // its machines come back one by one
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -271,11 +271,11 @@
 	m := h.m
 	s.lateDones(h.r)
 	s.askAgain(m)
+	m.lastBeat = max(m.lastBeat, m.heard)
 	if !s.unquiet(m) {
 		s.beats = append(s.beats, h)
 		return
 	}
-	m.lastBeat = max(m.lastBeat, m.heard)
 	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
 }
 
--- a/internal/core/mute.go
+++ b/internal/core/mute.go
@@ -79,7 +79,9 @@
 	}
 }
 
-// muteTooLong says whether m is to be returned.
+// muteTooLong says whether m is to be returned: it is out of earshot for long
+// or again and again. Where commands arrive and only answers don't, each
+// session of it would otherwise end whatever runs longer than a lease.
 func (s *State) muteTooLong(m *machine) bool {
-	return m.mute.is && s.now-m.mute.since > 3*s.cfg.Lease && s.othersReport()
+	return m.mute.is && (s.now-m.mute.since > 3*s.cfg.Lease || m.mute.times > 2) && s.othersReport()
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -19,6 +19,7 @@
 type users struct {
 	asks   map[uint64]*ask
 	askSeq uint64
+	alone  bool // has lost the state service and every peer, and is not back yet
 }
 
 // ask is a request passed on to a peer.
@@ -57,14 +58,33 @@
 func (s *State) up(req uint64) {
 	// Not ready only while nothing can be served at all: neither from here
 	// nor through a peer. Flapping is punished, so a slow state service is
-	// no reason.
-	if s.loaded {
+	// no reason, nor is an outage that every node has.
+	if s.loaded && !s.isolated() {
 		s.emit(Reply{Req: req, Status: 200, Body: map[string]string{"status": "up"}})
 		return
 	}
 	s.emit(Reply{Req: req, Status: 503, Body: Problem{"state not loaded yet"}, RetryAfter: 1})
 }
 
+// isolated says whether this node has lost both the state service and the
+// other controllers, so that users are better served elsewhere. Once it has,
+// the state service must be back for a while.
+func (s *State) isolated() bool {
+	gap := s.storeGap()
+	if s.storeAge() <= gap {
+		s.alone = s.alone && s.contact-s.okSince < gap
+		return s.alone
+	}
+	heard := time.Duration(0)
+	for _, p := range s.peers {
+		heard = max(heard, p.heard)
+	}
+	if s.now-heard > 2*gap && s.storeAge() > 2*gap && len(s.peers) > 0 {
+		s.alone = true
+	}
+	return s.alone
+}
+
 func (s *State) submit(o origin, spec model.Job, wall int64) {
 	if len(s.types) == 0 {
 		s.later(o, "machine types are not known yet")
--- a/internal/standin/trace_test.go
+++ b/internal/standin/trace_test.go
@@ -87,6 +87,112 @@
 		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
 		w.At(30*second, func() { w.tell("%s loses the state service", w.Leader().Name); w.Store.Refuse[w.Leader().Name] = true })
 	}},
+	{"silent-machine", "A machine hangs for most of its lease and is marked on the roster; back in time, it is answered once the mark is off, and keeps its task.", 80 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(batch("req-000001", 1), 45*second) })
+		w.At(40*second, func() { w.host("req-000001/0").Hang(8500 * time.Millisecond) })
+	}},
+	{"zone-and-leader", "A zone is cut off, then the leader crashes. By the marks its successor knows when the zone's leases end, and doesn't give each another one; no machine is returned.", 80 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 16), 0) })
+		w.At(40*second, func() {
+			zone := w.host("req-000001/0").info.Zone
+			w.tell("zone %s is cut off", zone)
+			cutZone(w, zone, 25*second, "drop")
+		})
+		w.At(46*second, func() {
+			l := w.Leader()
+			w.tell("%s leads", l.Name)
+			l.Crash()
+		})
+	}},
+	{"out-of-earshot", "A machine's reports arrive, but nothing reaches it. What it was given starts elsewhere once its session is sure to have ended, and it is of use again later.", 110 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 7), 0) })
+		w.At(40*second, func() {
+			for _, k := range sortedKeys(w.Workers) {
+				if wk := w.Workers[k]; len(wk.tasks) == 1 {
+					wk.Deaf = true
+					w.tell("machine %s is deaf", wk.info.Host)
+					w.After(24*second, func() {
+						w.tell("machine %s hears again", wk.info.Host)
+						wk.Deaf = false
+					})
+					break
+				}
+			}
+			w.Users.Submit(batch("req-000002", 2), 8*second)
+		})
+		w.At(80*second, func() { w.Users.Submit(batch("req-000003", 2), 8*second) })
+	}},
+	{"answers-lost", "Commands reach a machine, but answers to its reports don't, so that its lease runs out again and again. What runs for longer than a lease doesn't stay stuck there.", 150 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 4), 0) })
+		w.At(second, func() { w.Users.Submit(batch("req-000002", 4), 25*second) })
+		w.At(30*second, func() {
+			wk := w.host("req-000002/0")
+			wk.Unanswered = true
+			w.tell("machine %s gets no answers", wk.info.Host)
+		})
+	}},
+	{"late-copy", "A machine dies; copies of its last reports go on arriving for two leases, one of them never seen before. They hold nothing up.", 80 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
+		w.At(40*second, func() {
+			wk := w.host("req-000001/0")
+			rep := wk.report()
+			w.tell("machine %s dies", wk.info.Host)
+			w.Cloud.Take(wk.info.Host)
+			for i := 1; i < 20; i++ {
+				late := rep
+				late.Seq -= uint64(i % 5)
+				w.After(time.Duration(i)*second, func() {
+					w.Leader().ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: late} }, func(core.Reply) {})
+				})
+			}
+		})
+	}},
+	{"begins-anew", "A worker begins anew under its name and counts from the start again, while copies of its former reports still come. Its task runs again, and only once.", 90 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
+		w.At(40*second, func() {
+			wk := w.host("req-000001/0")
+			rep := wk.report()
+			wk.Restart()
+			for i := 1; i < 20; i++ {
+				late := rep
+				late.Seq += uint64(i)
+				w.After(time.Duration(i)*700*time.Millisecond, func() {
+					w.Leader().ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: late} }, func(core.Reply) {})
+				})
+			}
+		})
+	}},
+	{"alone-with-workers", "The leader loses the state service and its peers, but not the workers. It stops acting, sends them on, refuses users at once, and follows again later.", 80 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
+		w.At(30*second, func() {
+			l := w.Leader()
+			w.tell("%s is alone with the workers", l.Name)
+			alone(w, l, 25*second)
+			for at := 2; at < 30; at += 4 {
+				w.After(time.Duration(at)*second, func() {
+					asked := w.Now
+					l.ask("users", func(req uint64) core.Event { return core.Poll{Req: req, ID: "req-000001"} }, func(r core.Reply) {
+						w.tell("%s answers a poll with %d after %d ms", l.Name, r.Status, (w.Now - asked).Milliseconds())
+					})
+					l.ask("balancer", func(req uint64) core.Event { return core.Up{Req: req} }, func(r core.Reply) {
+						w.tell("%s answers a health check with %d", l.Name, r.Status)
+					})
+				})
+			}
+		})
+	}},
+	{"back-at-once", "The leader's process is back within a fraction of a second, and so is its successor in the middle of the election. No lease ends.", 60 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
+		w.At(30*second, func() { w.Leader().CrashFor(200 * time.Millisecond) })
+		w.At(30250*time.Millisecond, func() {
+			for _, n := range w.Nodes {
+				if n.Boots == 1 {
+					n.CrashFor(100 * time.Millisecond)
+					break
+				}
+			}
+		})
+	}},
 	{"recall", "A spot machine is recalled without notice while a checkpointed task runs on it.", 70 * second, func(w *World) {
 		j := batch("req-000001", 1)
 		j.Spot, j.Checkpoint, j.SaveCost = true, 5, 2
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -16,6 +16,8 @@
 	Hung bool
 	// Deaf: its reports arrive, but answers and commands don't reach it.
 	Deaf bool
+	// Unanswered: commands reach it, but answers to its reports don't.
+	Unanswered bool
 
 	session, seq, epoch uint64
 	leaseFrom           time.Duration
@@ -184,7 +186,7 @@
 		if wk.dead || wk.inFlight != number {
 			return // given up: dropped
 		}
-		if wk.Hung || wk.Deaf {
+		if wk.Hung || wk.Deaf || wk.Unanswered {
 			return // the time limit below moves it on
 		}
 		switch r.Status {
