--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -169,7 +169,8 @@
 	if j.Kind != model.Batch || j.Checkpoint > 0 || s.cfg.Goals[j.Class] == (Goal{}) {
 		return false
 	}
-	return s.age(j)+time.Duration(2*j.Estimate*float64(time.Second)) > s.within(j)
+	// Estimates are often too low.
+	return s.age(j)+time.Duration(2.5*j.Estimate*float64(time.Second)) > s.within(j)
 }
 
 // beginWithin is in what time every job must have begun (PROTOCOL, as the
