--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -298,9 +298,7 @@
 	s.log(slog.LevelInfo, "machine has begun anew", "host", m.host, "session", r.Session, "term", s.tenure.Term)
 	m.session, m.seq, m.seen = r.Session, 0, 0
 	m.told, m.toldSeq, m.mute, m.adopted = 0, 0, muteness{}, false
-	if m.lapsed {
-		m.lapsed, m.lastBeat = false, s.now
-	}
+	m.lapsed, m.lastBeat = false, s.now // its new life has a lease of its own
 	for _, t := range m.tasks {
 		// Answers to reports of the former life died with its connections.
 		t.issuedSeq, t.session = 0, r.Session
@@ -430,10 +428,8 @@
 				s.unbind(t, "new session")
 			}
 		}
-		if m.lapsed {
-			// The new session has a lease of its own, which began before now.
-			m.lapsed, m.lastBeat = false, s.now
-		}
+		// The new session has a lease of its own, which began before now.
+		m.lapsed, m.lastBeat = false, s.now
 		m.session, m.toldSeq = r.Session, 0
 	}
 	m.heard = s.now
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -197,6 +197,27 @@
 			w.At(at, func() { deafen(w, time.Duration(8+w.Rnd.IntN(30))*second) })
 		}
 	}},
+	{"answers lost again and again, then a machine cut off", func(w *World) {
+		for at := 30 * second; at < 150*second; at += 7 * second {
+			w.At(at, func() {
+				keys := sortedKeys(w.Workers)
+				if len(keys) == 0 {
+					return
+				}
+				wk := w.Workers[keys[w.Rnd.IntN(len(keys))]]
+				wk.Unanswered = true
+				w.After(time.Duration(9000+w.Rnd.IntN(3000))*time.Millisecond, func() {
+					wk.Unanswered = false
+					if w.Rnd.IntN(2) == 0 {
+						for _, n := range w.Nodes {
+							w.Cut(n.Name, wk.info.Endpoint, "drop")
+							w.After(15*second, func() { w.Heal(n.Name, wk.info.Endpoint) })
+						}
+					}
+				})
+			})
+		}
+	}},
 	{"late copies of reports", func(w *World) {
 		w.Copies = 0.3
 		for at := 40 * second; at < 150*second; at += 31 * second {
