--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -98,7 +98,7 @@
 			send(w, 400, core.Problem{Error: "not a report"}, 0)
 			return
 		}
-		ask(w, n, beatWait, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} })
+		ask(refusals{w}, n, beatWait, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} })
 	})
 	mux.HandleFunc("/up", func(w http.ResponseWriter, r *http.Request) {
 		if !method(w, r, http.MethodGet) {
@@ -109,6 +109,18 @@
 	return mux
 }
 
+// refusals closes the connection of whoever isn't answered with 200: a worker
+// that is sent on has no use for it, and after a crash all workers of a large
+// fleet come by at every controller, whose sockets are few.
+type refusals struct{ http.ResponseWriter }
+
+func (r refusals) WriteHeader(status int) {
+	if status != http.StatusOK {
+		r.Header().Set("Connection", "close")
+	}
+	r.ResponseWriter.WriteHeader(status)
+}
+
 func method(w http.ResponseWriter, r *http.Request, want string) bool {
 	if r.Method == want {
 		return true
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -143,3 +143,15 @@
 		t.Error(fmt.Sprint(f.last))
 	}
 }
+
+// TestRefusedWorkersLeave: a worker that is sent on must not keep a socket of a
+// controller that has few; one that is answered keeps its connection.
+func TestRefusedWorkersLeave(t *testing.T) {
+	for status, want := range map[int]string{200: "", 421: "close", 503: "close"} {
+		f := &fake{ok: true, reply: core.Reply{Status: status, Body: core.Redirect{Leader: "peon-2"}}}
+		w := serve(f, "POST", "/agent/beat", `{"host":"n-1"}`)
+		if w.Code != status || w.Header().Get("Connection") != want {
+			t.Errorf("status %d, Connection %q; want %d, %q", w.Code, w.Header().Get("Connection"), status, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 // Node is one controller.
 type Node struct {
 	set   *config.Settings
+	lease time.Duration // of the workers
 	start time.Time
 	state *core.State
 
@@ -63,7 +64,7 @@
 		began := n.Now()
 		return func() time.Duration { return n.Now() - began }
 	}
-	n.state = core.New(cfg, n.Now())
+	n.state, n.lease = core.New(cfg, n.Now()), cfg.Lease
 	report := cfg.ReportEvery
 	client := func(perHost int) *http.Client {
 		return &http.Client{
@@ -111,12 +112,14 @@
 		Handler:           api.Handler(n),
 		ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout:       20 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		// Connections across a cut stay open at this end only: they must not
+		// use up the sockets until long after.
+		IdleTimeout:    2 * n.lease,
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	errs := make(chan error, 2)
-	go func() { errs <- srv.Serve(limit(pub, n.set.Params.Limits.Files*3/4)) }()
+	go func() { errs <- srv.Serve(limit(pub, n.set.Params.Limits.Files*2/3)) }()
 	go func() {
 		errs <- peer.Serve(ctx, back, func(from string, m core.PeerMsg) { n.post(ctx, core.PeerIn{From: from, Msg: m}) })
 	}()
@@ -145,6 +148,9 @@
 
 // step feeds one event to the state and carries the effects out.
 func (n *Node) step(ctx context.Context, ev core.Event) {
+	if n.abandoned(ev) {
+		return
+	}
 	for _, e := range n.state.Step(n.Now(), ev) {
 		switch e := e.(type) {
 		case core.Reply:
@@ -179,6 +185,31 @@
 	}
 }
 
+// abandoned says whether ev is a question whose asker has been told to come
+// back meanwhile: with the processor behind, working on it would put off those
+// who still wait, and a report that old says nothing of its machine.
+func (n *Node) abandoned(ev core.Event) bool {
+	var req uint64
+	switch e := ev.(type) {
+	case core.Beat:
+		req = e.Req
+	case core.Submit:
+		req = e.Req
+	case core.Poll:
+		req = e.Req
+	case core.Withdraw:
+		req = e.Req
+	case core.Up:
+		req = e.Req
+	default:
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, asked := n.asks[req]
+	return !asked
+}
+
 // post hands an event to the owning goroutine.
 func (n *Node) post(ctx context.Context, ev core.Event) {
 	select {
