--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -196,6 +196,13 @@
 		for at := 30 * second; at < 140*second; at += 19 * second {
 			w.At(at, func() { deafen(w, time.Duration(8+w.Rnd.IntN(30))*second) })
 		}
+		// A new leader must not wait for a deaf machine for ever.
+		w.At(70*second, func() { deafen(w, 100*second) })
+		w.At(75*second, func() {
+			if l := w.Leader(); l != nil {
+				l.Crash()
+			}
+		})
 	}},
 	{"answers lost again and again, then a machine cut off", func(w *World) {
 		for at := 30 * second; at < 150*second; at += 7 * second {
@@ -381,8 +388,8 @@
 	}
 	wk := w.Workers[keys[w.Rnd.IntN(len(keys))]]
 	w.tell("machine %s is deaf", wk.info.Host)
-	wk.Deaf = true
-	w.After(d, func() { wk.Deaf = false })
+	wk.Deaf, wk.Unanswered = true, w.Rnd.IntN(2) == 0
+	w.After(d, func() { wk.Deaf, wk.Unanswered = false, false })
 }
 
 // alone cuts a controller from the state service and the others for d, but not
