--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"sort"
 	"time"
 
@@ -22,11 +23,12 @@
 	returnBy bool
 	// refused keeps offers that the cloud had no capacity for: not asked
 	// again before, with pauses that grow.
-	refused  map[offerKey]*refusal
-	returned map[string]time.Duration
-	zones    map[string]zoneState     // as of the last second
-	silentAt map[string]time.Duration // since when a zone is out of reach
-	zoneBack map[string]time.Duration // when one was last heard of again
+	refused   map[offerKey]*refusal
+	returned  map[string]time.Duration
+	zones     map[string]zoneState     // as of the last second
+	silentAt  map[string]time.Duration // since when a zone is out of reach
+	zoneBack  map[string]time.Duration // when one was last heard of again
+	limitTold bool                     // that the operators' limit on machines was reached
 	// unseenNow is how many machines have still to show their tasks.
 	unseenNow int
 }
@@ -473,7 +475,14 @@
 		}
 		coming = append(coming, c)
 	}
-	limit := s.cfg.MaxMachines - len(s.machines)
+	limit := math.MaxInt
+	if s.cfg.MaxMachines > 0 {
+		limit = s.cfg.MaxMachines - len(s.machines)
+		if limit <= 0 && !s.limitTold {
+			s.limitTold = true
+			s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.tenure.Term)
+		}
+	}
 	for _, r := range fleet.Plan(wants, coming, s.offers(have), limit) {
 		s.rent(r)
 	}
--- a/internal/standin/sharing_test.go
+++ b/internal/standin/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -174,3 +175,30 @@
 		}
 	}
 }
+
+// TestOperatorsLimitOnMachines: rentals stop at the operators' limit, and the
+// log says so once. A limit of our own once kept a fleet from renting at all:
+// more machines stood there than it allowed.
+func TestOperatorsLimitOnMachines(t *testing.T) {
+	for _, limit := range []int{0, 5} {
+		opt := Defaults(6)
+		opt.Config.MaxMachines = limit
+		told := 0
+		opt.Tamper = func(_ *World, _ *Node, e core.Effect) core.Effect {
+			if l, ok := e.(core.Log); ok && strings.Contains(l.Text, "operators allow") {
+				told++
+			}
+			return e
+		}
+		w := New(opt)
+		w.At(second, func() { w.Users.Submit(batch("req-000001", 60), 200*second) })
+		w.Run(60 * second)
+		want, lines := 12, 0
+		if limit > 0 {
+			want, lines = limit, 1
+		}
+		if n := len(w.Cloud.machines); n != want || told != lines {
+			t.Errorf("limit %d: %d machines and %d lines in the log, want %d and %d", limit, n, told, want, lines)
+		}
+	}
+}
