Share out sockets by need, so that half as many machines again find one

Cause: the public side had two thirds of the sockets, 1,630 of 2,446; with 1,785 machines up (half as many again) all were taken: connections peaked at 2,013 to 2,019, which is that and the commands' share, and workers were turned away after elections. The fixed bounds on direct commands (64), events, held reports, user writes and waiting questions didn't follow from anything either. Now each share follows from fd_limit (config.Sockets, tested to add up); workers connect anew for each report when seven eighths are taken; a quarter of the direct commands is kept for starts and stops; a report that has to be proven is never believed for want of a socket; a user's change that couldn't be written in time is refused at once. Ruled out: more direct commands alone (the peak was the public side).

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -32,6 +32,8 @@
 type Asker interface {
 	Ask(make func(req uint64) core.Event, wait time.Duration) (core.Reply, bool)
 	Now() time.Duration
+	// Crowded says that sockets are running out.
+	Crowded() bool
 }
 
 // Users wait 5 s for a submission, 2 s for a poll, workers 4 s for a report:
@@ -98,6 +100,9 @@
 			send(w, 400, core.Problem{Error: "not a report"}, 0)
 			return
 		}
+		if n.Crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		ask(refusals{w}, n, beatWait, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} })
 	})
 	mux.HandleFunc("/up", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -58,6 +58,7 @@
 	ok    bool
 	now   time.Duration
 	last  core.Event
+	full  bool // few sockets are left
 }
 
 func (f *fake) Ask(make func(uint64) core.Event, wait time.Duration) (core.Reply, bool) {
@@ -65,6 +66,7 @@
 	return f.reply, f.ok
 }
 func (f *fake) Now() time.Duration { return f.now }
+func (f *fake) Crowded() bool      { return f.full }
 
 func serve(f *fake, method, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
@@ -154,4 +156,13 @@
 			t.Errorf("status %d, Connection %q; want %d, %q", w.Code, w.Header().Get("Connection"), status, want)
 		}
 	}
+	// With few sockets left a worker connects anew for each report; a user
+	// keeps the connection.
+	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.BeatReply{}}, full: true}
+	if w := serve(f, "POST", "/agent/beat", `{"host":"n-1"}`); w.Code != 200 || w.Header().Get("Connection") != "close" {
+		t.Errorf("few sockets left: a worker is answered %d and keeps its connection", w.Code)
+	}
+	if w := serve(f, "GET", "/api/jobs/req-000001", ""); w.Header().Get("Connection") != "" {
+		t.Error("few sockets left: a user's connection is closed")
+	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -137,6 +137,9 @@
 	if err := s.Platform.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", platform, err)
 	}
+	if k := s.Sockets(); k.Public < k.Other {
+		return nil, fmt.Errorf("%s: facts.quota.fd_limit: %d is too few for %d controllers", platform, s.Params.Limits.Files, len(s.Peers)+1)
+	}
 	s.Budget = seconds(s.Params.Workers.ReportS) / 30
 	if operator != "" {
 		if err := s.operate(operator); err != nil {
@@ -290,6 +293,27 @@
 	return nil
 }
 
+// Sockets is how a process shares out the sockets that it may have.
+type Sockets struct {
+	Public int // users' and workers' connections
+	Direct int // direct commands under way
+	Idle   int // connections to workers that are kept for the next command
+	Other  int // state service, cloud, controllers, listeners and the runtime's own
+}
+
+// perController bounds the connections from and to one other controller: one
+// each way, and as many again that were cut off and are not given up yet.
+const perController = 6
+
+// Sockets shares out fd_limit. Workers keep their connections, and after an
+// election all of them come to one controller, so nearly all are public.
+func (s *Settings) Sockets() Sockets {
+	n := s.Params.Limits.Files
+	k := Sockets{Direct: max(n/16, 1), Idle: n / 16, Other: max(n/16, 16+perController*len(s.Peers))}
+	k.Public = n - k.Direct - k.Idle - k.Other
+	return k
+}
+
 // Core is the part of the settings that the core needs. Boot differs between
 // lives of the process.
 func (s *Settings) Core(boot uint64) core.Config {
@@ -301,6 +325,7 @@
 		StoreRPS: p.State.RPS, StoreWrites: p.State.WriteRPS,
 		ValueBytes: int(p.State.ValueKB * 1024), TxnOps: p.State.TxnOps,
 		CloudRPS: p.Cloud.RPS, ListLag: seconds(p.Cloud.ListLagS),
+		Directs: s.Sockets().Direct, Requests: s.Sockets().Public,
 		Tuning: s.Tuning, Goals: map[string]core.Goal{},
 	}
 	for _, o := range p.Objectives {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,6 +51,7 @@
 		{`"lease_s": 20`, `"lease_s": "x"`, "", "lease_s: want float64, not a JSON string"},
 		{`"lease_s": 20`, `"lease_s": 4`, "", "less than two reports"},
 		{`"count": 2`, `"count": 3`, "", "facts.count: 3, but others names 1"},
+		{`"fd_limit": 1000`, `"fd_limit": 40`, "", "facts.quota.fd_limit: 40 is too few for 2 controllers"},
 		{`"name": "t"`, `"name": ""`, "", "facts.teams[0].name: missing"},
 		{`{`, ``, "", "not valid JSON"},
 		{``, ``, "dispatch {\n skip_limit = -1\n}\n", "o.hcl: dispatch.skip_limit: -1 is below 0"},
@@ -68,3 +69,23 @@
 		}
 	}
 }
+
+// TestSocketsAddUp: what the parts may take together is what there is, and all
+// machines of a fleet find a socket at one controller: 1,785 machines once took
+// all the public ones.
+func TestSocketsAddUp(t *testing.T) {
+	for _, files := range []int{100, 500, 1000, 1200, 2446, 3163, 100_000} {
+		for peers := range 5 {
+			var s Settings
+			s.Params.Limits.Files = files
+			s.Peers = make([]Peer, peers)
+			k := s.Sockets()
+			if sum := k.Public + k.Direct + k.Idle + k.Other; sum != files || k.Direct < 1 || k.Other < 16+6*peers {
+				t.Errorf("%d sockets, %d peers: %+v make %d", files, peers, k, sum)
+			}
+			if files >= 1000 && k.Public < files*4/5 {
+				t.Errorf("%d sockets: %+v leave few for the workers", files, k)
+			}
+		}
+	}
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -55,7 +55,7 @@
 	s.nextRound = s.now + env.elapsed() + max(s.cfg.ReportEvery/roundsPerReport, env.elapsed())
 	s.answerBeats()
 	for _, m := range env.touched {
-		if s.directs >= maxDirects {
+		if s.directs >= s.cfg.Directs {
 			break // the rest with the next reports and ticks: sockets are few
 		}
 		if !m.direct && s.now >= m.directAt && m.adopted && m.endpoint != "" {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -251,7 +251,7 @@
 		// from a report alone: after the machine has begun anew, copies from
 		// its earlier life show higher sessions than the present one.
 		s.prove(h)
-	case m.heard != 0 && s.now-m.heard >= s.silence() && m.endpoint != "" && (m.direct || s.directs < maxDirects):
+	case m.heard != 0 && s.now-m.heard >= s.silence() && m.endpoint != "":
 		s.prove(h)
 	case m.lapsed && m.session == 0:
 		// Lost before it was ever heard of in this term: only its own word
@@ -283,7 +283,7 @@
 // that has begun anew under the same name counts from the start again, and
 // must not be taken for its own late copy for ever.
 func (s *State) askAgain(m *machine) {
-	if m.direct || m.endpoint == "" || s.directs >= maxDirects || s.now < m.askedAt+s.cfg.ReportEvery {
+	if m.direct || m.endpoint == "" || !s.mayProbe() || s.now < m.askedAt+s.cfg.ReportEvery {
 		return
 	}
 	m.askedAt = s.now
@@ -319,8 +319,8 @@
 		s.emit(Reply{Req: m.proof.req, Status: 503, Body: Problem{"overtaken"}})
 	}
 	m.proof = &h
-	if !m.direct {
-		s.command(m, nil, nil)
+	if !m.direct && s.mayProbe() {
+		s.command(m, nil, nil) // else reachOut asks, as soon as others have answered
 	}
 }
 
@@ -352,11 +352,11 @@
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
 		return
 	}
-	if !m.rostered && !m.adopted && !m.direct && s.directs < maxDirects && m.endpoint != "" {
+	if !m.rostered && !m.adopted && !m.direct && s.mayProbe() && m.endpoint != "" {
 		s.command(m, nil, nil) // a new machine is of use as soon as it shows the epoch
 	}
 	m.lastBeat = s.now
-	if !s.unquiet(m) || s.dirty && len(s.beats) < maxHeldBeats {
+	if !s.unquiet(m) || s.dirty {
 		// Place first, so that what was just freed is filled by this answer,
 		// and together with what other reports free in the same moment.
 		s.beats = append(s.beats, h)
@@ -383,12 +383,12 @@
 	at  time.Duration
 }
 
-// maxHeldBeats bounds the reports that wait for a round, maxDirects the direct
-// commands under way: all machines at once would use up the sockets.
-const (
-	maxHeldBeats = 1000
-	maxDirects   = 64
-)
+// mayProbe says whether a machine may be asked whether it is there. Direct
+// commands under way are bounded by the sockets that there are for them
+// (Config.Directs). A quarter is kept for starts and stops: when hundreds of
+// machines fall silent at once, each question holds its socket until it is
+// given up.
+func (s *State) mayProbe() bool { return s.directs < max(1, s.cfg.Directs*3/4) }
 
 func (s *State) answerBeat(h heldBeat) {
 	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session || h.m.lapsed || !s.unquiet(h.m) {
@@ -794,13 +794,24 @@
 		return
 	}
 	for _, m := range s.order {
-		if m.direct || m.endpoint == "" || s.now < m.directAt || m.returning {
+		if m.direct || m.endpoint == "" || m.returning {
 			continue
 		}
-		if s.directs >= maxDirects {
+		if s.directs >= s.cfg.Directs {
 			return // the others have their turn at the next tick
 		}
-		if m.quiet != 0 && s.directs >= maxDirects/4 {
+		if m.proof != nil && s.mayProbe() {
+			s.command(m, nil, nil)
+			continue
+		}
+		if s.now < m.directAt {
+			continue
+		}
+		if m.unsent && m.adopted && s.now-m.heard <= 2*s.cfg.ReportEvery {
+			s.flush(m)
+			continue
+		}
+		if !s.mayProbe() || m.quiet != 0 && s.directs >= s.cfg.Directs/4 {
 			continue // a zone that is cut off must not take all the turns
 		}
 		if !m.adopted {
@@ -813,10 +824,6 @@
 		}
 		if s.now-m.heard > 2*s.cfg.ReportEvery || m.mute.is && m.seen < m.mute.epoch {
 			s.command(m, nil, nil) // is it there at all?
-			continue
-		}
-		if m.unsent {
-			s.flush(m)
 		}
 	}
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -46,6 +46,9 @@
 	CloudRPS    float64
 	ListLag     time.Duration
 
+	Directs  int // direct commands under way at a time
+	Requests int // users' and workers' requests under way at a time
+
 	Tuning
 
 	// Budget is the time that one round of decisions may take (0: any), and
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -32,17 +32,24 @@
 // answer to an earlier life would otherwise answer another user's question.
 func (u *users) init(boot uint64) { u.asks, u.askSeq = map[uint64]*ask{}, boot<<20 }
 
-// limits on requests under way in one node; beyond them a user is told to
-// come back.
-const (
-	maxWrites  = 2000
-	maxWaiters = 4000
-)
-
 // userWait bounds how long a user's change is tried. Users give up after 5 s;
 // what is refused sooner is retried sooner.
 const userWait = 2 * time.Second
 
+// swamped says whether a user's change that came now could not be written
+// before it is given up, because too many wait before it. Whoever asks is told
+// so at once.
+func (s *State) swamped() bool {
+	waiting := 0
+	for _, w := range s.queue {
+		if w.class != classUser {
+			break // they stand in front
+		}
+		waiting++
+	}
+	return float64(waiting) >= float64(s.writeRate.Limit())*userWait.Seconds()+float64(s.cfg.TxnOps)
+}
+
 func (s *State) answer(o origin, status int, body any, retry int) {
 	if o.peer != "" {
 		s.emit(PeerOut{o.peer, PeerMsg{Kind: MsgAnswer, Ask: o.ask, Status: status, Value: raw(body), Retry: retry}})
@@ -104,11 +111,11 @@
 			func() bool { return s.passOn(o, "submit", spec.ID, raw(spec), wall) })
 		return
 	}
-	if len(s.queue) > maxWrites {
-		s.later(o, "too many submissions under way")
+	if s.storeAge() > s.storeGap() && s.passOn(o, "submit", spec.ID, raw(spec), wall) {
 		return
 	}
-	if s.storeAge() > s.storeGap() && s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+	if s.swamped() {
+		s.later(o, "too many submissions under way")
 		return
 	}
 	if !s.loaded || s.storeAge() > 2*s.storeGap() {
@@ -148,7 +155,7 @@
 // ifUnknown calls f if no such job was accepted, and answers with the job's
 // state otherwise. pass tries a peer if that can't be told here.
 func (s *State) ifUnknown(o origin, id string, f func(), pass func() bool) {
-	if len(s.waiters) > maxWaiters {
+	if len(s.waiters) >= s.cfg.Requests {
 		s.later(o, "too many requests under way")
 		return
 	}
@@ -223,7 +230,7 @@
 		return
 	}
 	if s.jobs[id] == nil {
-		if len(s.waiters) > maxWaiters {
+		if len(s.waiters) >= s.cfg.Requests {
 			s.later(o, "too many requests under way")
 			return
 		}
@@ -239,10 +246,14 @@
 		})
 		return
 	}
-	if !s.loaded || s.storeAge() > 2*s.storeGap() || len(s.queue) > maxWrites {
+	if !s.loaded || s.storeAge() > 2*s.storeGap() {
 		s.later(o, "the state service does not answer")
 		return
 	}
+	if s.swamped() {
+		s.later(o, "too many changes under way")
+		return
+	}
 	key := dirJobs + id
 	value := raw(jobValue{Phase: model.PhaseAborted})
 	s.put(&write{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,10 +24,6 @@
 	"mulleinfall/internal/statestore"
 )
 
-// maxEvents bounds what waits for the owning goroutine; beyond it users and
-// workers are told to come back.
-const maxEvents = 2048
-
 // linesPerSecond bounds the core's log; ten seconds' worth may come at once.
 const linesPerSecond = 200
 
@@ -51,11 +47,16 @@
 	// A flood of lines would take the processor from what they tell about.
 	logs     *rate.Limiter
 	unlogged int
+
+	public *limited
 }
 
 // New makes a controller from checked settings; Run serves it.
 func New(set *config.Settings, boot uint64) *Node {
-	n := &Node{set: set, start: time.Now(), events: make(chan core.Event, maxEvents),
+	sockets := set.Sockets()
+	// A connection has one request under way at most, and so one event: with
+	// room for one of each socket, a fleet that reports all at once is heard.
+	n := &Node{set: set, start: time.Now(), events: make(chan core.Event, set.Params.Limits.Files),
 		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{},
 		logs: rate.NewLimiter(linesPerSecond, 10*linesPerSecond)}
 	cfg := set.Core(boot)
@@ -66,23 +67,23 @@
 	}
 	n.state, n.lease = core.New(cfg, n.Now()), cfg.Lease
 	report := cfg.ReportEvery
-	client := func(perHost int) *http.Client {
+	client := func(perHost, idle int) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
 				DialContext:         (&net.Dialer{Timeout: report}).DialContext,
 				MaxIdleConnsPerHost: perHost,
-				MaxIdleConns:        set.Params.Limits.Files / 8,
+				MaxIdleConns:        idle,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
-	n.store = &statestore.Client{Addr: set.Services.State, HTTP: client(8)}
-	n.cloud = &cloud.Client{Addr: set.Services.Cloud, HTTP: client(4), Timeout: 5 * time.Second}
+	n.store = &statestore.Client{Addr: set.Services.State, HTTP: client(8, 8)}
+	n.cloud = &cloud.Client{Addr: set.Services.Cloud, HTTP: client(4, 4), Timeout: 5 * time.Second}
 	// A direct command that has no answer within a report's time is left to
 	// the reports.
-	n.agent = &agent.Client{HTTP: client(1), Timeout: report, Now: n.Now}
+	n.agent = &agent.Client{HTTP: client(1, sockets.Idle), Timeout: report, Now: n.Now}
 	for _, p := range set.Peers {
 		n.links[p.Name] = peer.NewLink(set.Name, p.Addr, cfg.Lease/8)
 	}
@@ -108,6 +109,7 @@
 	defer back.Close()
 	slog.Info("serving", "node", n.set.Name, "api", n.set.Listen, "peers", n.set.PeerAddr)
 
+	n.public = limit(pub, n.set.Sockets().Public)
 	srv := &http.Server{
 		Handler:           api.Handler(n),
 		ReadHeaderTimeout: 10 * time.Second,
@@ -119,7 +121,7 @@
 		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	errs := make(chan error, 2)
-	go func() { errs <- srv.Serve(limit(pub, n.set.Params.Limits.Files*2/3)) }()
+	go func() { errs <- srv.Serve(n.public) }()
 	go func() {
 		errs <- peer.Serve(ctx, back, func(from string, m core.PeerMsg) { n.post(ctx, core.PeerIn{From: from, Msg: m}) })
 	}()
@@ -247,9 +249,14 @@
 	}
 }
 
+// Crowded implements api.Asker: too few sockets are left for newcomers. A
+// worker reports every few seconds and can as well connect anew each time; a
+// user who finds no socket is turned away.
+func (n *Node) Crowded() bool { return n.public.crowded() }
+
 // limit bounds the open connections, so that sockets are left for the state
 // service, the cloud and the peers.
-func limit(ln net.Listener, most int) net.Listener {
+func limit(ln net.Listener, most int) *limited {
 	return &limited{Listener: ln, slots: make(chan struct{}, most)}
 }
 
@@ -258,6 +265,9 @@
 	slots chan struct{}
 }
 
+// crowded says whether seven eighths of the connections are taken.
+func (l *limited) crowded() bool { return len(l.slots)*8 >= cap(l.slots)*7 }
+
 type limitedConn struct {
 	net.Conn
 	once  sync.Once
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -95,6 +95,7 @@
 			Skew:        time.Second,
 			ReportEvery: 1500 * time.Millisecond, Lease: 10 * time.Second, CancelIn: 30 * time.Second,
 			StoreRPS: 150, StoreWrites: 50, ValueBytes: 32 << 10, TxnOps: 12, CloudRPS: 6, ListLag: 5 * time.Second,
+			Directs: 64, Requests: 800,
 			Tuning: core.DefaultTuning(),
 		},
 	}
