Mark silent machines after one report and a half

Marks are now made after one report and a half and looked for six times a report interval; a page under way is still written once for all that came up. Ruled out: a rate limit of the state service (none refused, 12 changes a second).

--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -192,9 +192,9 @@
 	if s.cfg.Skew <= 0 || s.now < s.quietAt {
 		return // how far clocks are apart isn't known
 	}
-	s.quietAt = s.now + s.cfg.ReportEvery/2
+	s.quietAt = s.now + s.cfg.ReportEvery/6
 	for _, m := range s.order {
-		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < 2*s.cfg.ReportEvery {
+		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < s.cfg.ReportEvery*3/2 {
 			continue
 		}
 		m.quiet = max(1, s.wallAt(m.lastBeat))
