Return machines once the cloud has taken them; give missing ones up after a command in vain

Now a recalled machine that hasn't been heard of since its time is returned one second later, and a few that are missing after an election are given up once a command had no answer and a report is overdue, instead of after half a silence and a report. Ruled out: slow adoption of those alive (all within 3 s).

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -213,7 +213,7 @@
 			break
 		}
 		switch {
-		case m.returning, m.dead, s.overdue(m):
+		case m.returning, m.dead, s.overdue(m), s.taken(m):
 			hosts = append(hosts, m.host)
 		case s.zones[m.zone].silent:
 			// Cut off, most likely: what is there goes on working by itself or
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -84,13 +84,15 @@
 	told    uint64 // epoch of the last answer to a report, and that report
 	toldSeq uint64
 
-	askedAt   time.Duration // when its word was last asked for
-	direct    bool          // a direct command is under way
-	directAt  time.Duration // no direct command before
-	doubt     uint64        // epoch of a direct command without an answer
-	keptFor   *job          // room made by preemption is kept for this job
-	keptUntil time.Duration
-	draining  bool // kept for a job that waits for its tasks to end, not for preempted ones
+	askedAt time.Duration // when its word was last asked for
+	// askedInVain: a direct command had no answer in this term.
+	askedInVain bool
+	direct      bool          // a direct command is under way
+	directAt    time.Duration // no direct command before
+	doubt       uint64        // epoch of a direct command without an answer
+	keptFor     *job          // room made by preemption is kept for this job
+	keptUntil   time.Duration
+	draining    bool // kept for a job that waits for its tasks to end, not for preempted ones
 }
 
 func (s *State) machine(host string) *machine {
@@ -150,7 +152,7 @@
 	m.tasks = map[string]*task{}
 	m.strangers = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
-	m.told, m.toldSeq, m.least, m.askedAt = 0, 0, 0, 0
+	m.told, m.toldSeq, m.least, m.askedAt, m.askedInVain = 0, 0, 0, 0, false
 	m.keptFor, m.slow, m.slowSigns = nil, false, 0
 	m.proof, m.mute = nil, muteness{}
 	if !m.rostered {
@@ -828,12 +830,20 @@
 	}
 }
 
+// taken says whether the cloud has taken m back, as it had told. Returned by
+// name it is surely gone: its tasks needn't wait for its lease, nor a
+// successor's older jobs for its word.
+func (s *State) taken(m *machine) bool {
+	return m.recallAt != 0 && s.now >= m.recallAt+time.Second && m.heard < m.recallAt
+}
+
 // missing says whether m, of which this term has heard nothing, is given up
 // though its lease may not be over: nearly all others have shown their tasks,
-// and every older job waits for the last of them. A lease for a handful of
-// machines that died with the former leader would hold up the whole fleet.
+// it doesn't answer a command, and every older job waits for the last of them.
+// A lease for a handful of machines that died with the former leader would
+// hold up the whole fleet.
 func (s *State) missing(m *machine) bool {
-	return s.unaccounted(m) && m.session == 0 && s.now-s.electedAt > s.silence()/2+s.cfg.ReportEvery && s.unseenNow*32 <= len(s.order)
+	return s.unaccounted(m) && m.session == 0 && m.askedInVain && s.now-s.electedAt > s.cfg.ReportEvery*5/4 && s.unseenNow*32 <= len(s.order)
 }
 
 // deaf says whether m is given up before its lease is over: it carries
@@ -932,6 +942,7 @@
 				s.raiseFence(m)
 			}
 			m.directAt = s.now + s.cfg.Lease/8
+			m.askedInVain = true
 			if m.heard > sent {
 				s.unreachable(m) // it reports meanwhile, so it is there
 			}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -109,6 +109,14 @@
 	return hosts
 }
 
+// Recall takes a machine back after notice.
+func (c *Cloud) Recall(host string, notice time.Duration) {
+	if wk := c.w.Workers["w"+host]; wk != nil {
+		wk.recallAt, wk.changed = c.w.Now+notice, true
+	}
+	c.w.After(notice, func() { c.Take(host) })
+}
+
 // Take ends a machine: returned by us, or taken back.
 func (c *Cloud) Take(host string) {
 	m := c.machines[host]
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +158,45 @@
 		t.Error(b)
 	}
 }
+
+// TestTakenMachinesHoldNobodyUp: a machine that the cloud has taken after notice
+// is returned by name, so that it is surely gone; one that died with the leader
+// is given up after a command in vain. Either once kept every older job of a
+// large fleet waiting after an election.
+func TestTakenMachinesHoldNobodyUp(t *testing.T) {
+	g := newGrown(3)
+	g.load(60 * second)
+	var returned, elected, settled time.Duration
+	g.Tell = true
+	tamper := g.Opt.Tamper
+	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
+		switch e := e.(type) {
+		case core.CloudCall:
+			if e.Op == core.CloudReturn && slices.Contains(e.Hosts, "n-000007") && returned == 0 {
+				returned = w.Now
+			}
+		case core.Log:
+			switch e.Text {
+			case "elected":
+				elected = w.Now
+			case "all machines accounted for":
+				settled = w.Now
+			}
+		}
+		return tamper(w, n, e)
+	}
+	g.At(20*second, func() { g.Cloud.Recall("n-000007", 5*second) })
+	g.Run(30 * second)
+	if returned == 0 || returned > 28*second {
+		t.Errorf("the machine taken at 25 s was returned at %v", returned)
+	}
+	g.Cloud.Take("n-000008")
+	g.Leader().Crash()
+	g.Run(45 * second)
+	if late := 2 * g.Opt.Config.ReportEvery; settled < elected || settled-elected > late {
+		t.Errorf("elected at %v, all machines accounted for at %v, want within %v", elected, settled, late)
+	}
+	for _, b := range g.Check.Broken {
+		t.Error(b)
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,6 +19,8 @@
 	// Unanswered: commands reach it, but answers to its reports don't.
 	Unanswered bool
 
+	recallAt time.Duration // when the cloud takes the machine, as it has told; 0: not
+
 	session, seq, epoch uint64
 	leaseFrom           time.Duration
 	tasks               map[string]*run
@@ -152,6 +154,10 @@
 	wk.seq++
 	rep := model.Report{Host: wk.info.Host, Endpoint: wk.info.Endpoint, Type: wk.info.Type, Zone: wk.info.Zone, Spot: wk.info.Spot,
 		Session: wk.session, Seq: wk.seq, Epoch: wk.epoch}
+	if wk.recallAt != 0 {
+		left := (wk.recallAt - wk.w.Now).Seconds()
+		rep.Recall = &left
+	}
 	for _, name := range sortedKeys(wk.tasks) {
 		r := wk.tasks[name]
 		rep.Tasks = append(rep.Tasks, model.TaskReport{Task: name, Attempt: r.attempt, State: r.state, Cause: r.cause, Saved: r.saved})
