Play a fleet of 2,100 machines in the tests; settle a takeover without looking at all

TestWorkByFleetSize counts at 500, 1,000 and 2,000. Ruled out: nothing else that is done for a report looks at the fleet.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -31,6 +31,8 @@
 	firstTerm  bool // nobody has led, and so rented, before this term
 	ready      bool // the replica has caught up with the election
 	settled    bool // every task of older jobs is accounted for
+	looked     int  // of order: the machines before are accounted for
+	looks      int  // machines looked at in search of others
 	attempts   uint64
 	hires      uint64
 	dirty      bool
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -167,7 +167,7 @@
 func (s *State) takeOver() {
 	s.log(slog.LevelInfo, "leading", "term", s.tenure.Term, "jobs", len(s.active), "machines", len(s.machines))
 	s.attempts, s.hires, s.beatAt = 0, 0, s.now
-	s.settled = false
+	s.settled, s.looked, s.looks = false, 0, 0
 	s.paths = map[sched.Path]int{}
 	s.pages, s.rosterAt, s.quietAt = map[int]*page{}, 0, 0
 	s.teams, s.odd, s.beats = map[string]sched.Resources{}, nil, nil
@@ -721,13 +721,26 @@
 // unaccounted says whether m may run tasks that this leader hasn't seen.
 func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.cleared }
 
+// Looks is how many machines were looked at until this term was settled.
+func (s *State) Looks() int { return s.looks }
+
 // checkSettled notes when every task of older jobs is accounted for: each
 // machine of the roster has shown all it has under this term, or is gone.
 func (s *State) checkSettled() {
 	if s.settled || !s.Leading() {
 		return
 	}
+	// It is called for each report: looking at all machines each time would
+	// make a takeover's work grow with the square of the fleet.
+	for ; s.looked < len(s.order); s.looked++ {
+		s.looks++
+		if s.unaccounted(s.order[s.looked]) {
+			return
+		}
+	}
+	s.looks += len(s.order)
 	if slices.ContainsFunc(s.order, s.unaccounted) {
+		s.looked = 0 // the order has changed meanwhile, or one has begun anew
 		return
 	}
 	s.settled, s.dirty = true, true
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -10,18 +10,33 @@
 	"mulleinfall/internal/model"
 )
 
-// grown is a world with some 450 machines that are up at once, and counters of
-// what the controllers do to the outside.
+// grown is a world with hundreds of machines that are up at once, and counters
+// of what the controllers do to the outside.
 type grown struct {
 	*World
+	machines                              int
 	puts, requests, directs, atOnce, open int
 	rounds                                map[time.Duration]int // by report interval
 }
 
-func newGrown(seed uint64) *grown {
-	g := &grown{rounds: map[time.Duration]int{}}
+// newGrown has 450 machines and the settings of Defaults.
+func newGrown(seed uint64) *grown { return growTo(Defaults(seed), 150) }
+
+// newFleet has three times zone machines and the settings of the largest
+// deployments, less the time that workers need for details.
+func newFleet(seed uint64, zone int) *grown {
 	opt := Defaults(seed)
-	opt.Capacity = 150
+	c := &opt.Config
+	c.ReportEvery, c.Lease, c.CancelIn = 6*second, 31*second, 51*second
+	c.StoreRPS, c.StoreWrites, c.ValueBytes, c.TxnOps = 250, 70, 16<<10, 24
+	c.Directs, c.Requests = 152, 1990
+	opt.Pace = 100 * time.Millisecond
+	return growTo(opt, zone)
+}
+
+func growTo(opt Options, zone int) *grown {
+	g := &grown{rounds: map[time.Duration]int{}, machines: zone * len(opt.Zones)}
+	opt.Capacity = zone
 	opt.Config.Stopwatch = func() func() time.Duration {
 		if g.World != nil {
 			g.rounds[g.Now/opt.Config.ReportEvery]++
@@ -43,8 +58,8 @@
 	}
 	g.World = New(opt)
 	g.Cloud.Slow = 0.02 // up within a moment
-	for _, zone := range opt.Zones {
-		g.Cloud.Rent("small", zone, false, 150)
+	for _, name := range opt.Zones {
+		g.Cloud.Rent("small", name, false, zone)
 	}
 	return g
 }
@@ -112,13 +127,7 @@
 	if len(g.Check.Broken) > killed {
 		t.Error(g.Check.Broken)
 	}
-	lost := 0
-	for _, wk := range g.Workers {
-		if wk.session > 1 {
-			lost++
-		}
-	}
-	if lost > 0 {
+	if lost := g.lost(); lost > 0 {
 		t.Errorf("%d of 450 machines lost their lease in the takeover", lost)
 	}
 }
@@ -200,3 +209,147 @@
 		t.Error(b)
 	}
 }
+
+// lost counts the machines whose lease has run out since they came up.
+func (g *grown) lost() int {
+	n := 0
+	for _, wk := range g.Workers {
+		if wk.session > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFleet is a day of some 2,000 machines: it starts, serves, loses its
+// leader, then all controllers, which are back within a moment and crash again
+// inside the election, and a hundred machines hang for longer than their lease.
+// Requests carried out and reports come again, late, all day. What each of this
+// asks of the state service and of the sockets is bounded.
+func TestFleet(t *testing.T) {
+	t.Parallel()
+	g := newFleet(1, 700)
+	g.Repeats, g.Copies = 0.03, 0.03
+	watchLeaders(g.World)
+	g.load(150 * second)
+	c := g.Opt.Config
+
+	g.Run(15 * second)
+	if n := len(g.Workers); n != g.machines {
+		t.Fatalf("%d machines are up, want %d", n, g.machines)
+	}
+	if on := g.running(); on < 150 {
+		t.Errorf("%d tasks run 15 s after the start: the machines aren't of use yet", on)
+	}
+	if g.puts > g.machines/4 { // a page holds 27 machines, and is written again as it fills
+		t.Errorf("%d changes written to the state service in the first 15 s", g.puts)
+	}
+
+	puts, requests := g.puts, g.requests
+	g.Run(35 * second)
+	if rps, wps := float64(g.requests-requests)/20, float64(g.puts-puts)/20; rps > c.StoreRPS/2 || wps > c.StoreWrites/2 {
+		t.Errorf("%.0f requests and %.0f changes a second on an ordinary day", rps, wps)
+	}
+
+	takeover := func(what string, elections int, until time.Duration) {
+		t.Helper()
+		directs, lost, running := g.directs, g.lost(), g.running()
+		puts, requests, from := g.puts, g.requests, g.Now
+		g.atOnce = 0
+		g.Run(until)
+		took := (g.Now - from).Seconds()
+		if g.atOnce > c.Directs*3/2 { // of three controllers, one leads at a time
+			t.Errorf("%s: %d direct commands at the same time", what, g.atOnce)
+		}
+		if n := g.directs - directs; n > 3*elections*g.machines {
+			t.Errorf("%s: %d direct commands", what, n)
+		}
+		if rps, wps := float64(g.requests-requests)/took, float64(g.puts-puts)/took; rps > c.StoreRPS/2 || wps > c.StoreWrites/2 {
+			t.Errorf("%s: %.0f requests and %.0f changes a second", what, rps, wps)
+		}
+		if n := g.lost() - lost; n > 0 {
+			t.Errorf("%s: %d machines lost their lease", what, n)
+		}
+		if now := g.running(); now < running*3/4 {
+			t.Errorf("%s: %d tasks ran before, %d now", what, running, now)
+		}
+	}
+	g.Leader().Crash()
+	takeover("the leader crashes", 1, 75*second)
+
+	for _, n := range g.Nodes {
+		n.CrashFor(300 * time.Millisecond)
+	}
+	for i, n := range g.Nodes {
+		g.After(time.Duration(6000+400*i)*time.Millisecond, func() { n.CrashFor(200 * time.Millisecond) })
+	}
+	takeover("all crash, again inside the election", 2, 115*second)
+
+	hung := sortedKeys(g.Workers)[300:400]
+	for _, e := range hung {
+		g.Workers[e].Hang(40 * second)
+	}
+	g.Run(185 * second)
+	back := 0
+	for _, e := range hung {
+		if wk := g.Workers[e]; wk != nil && wk.epoch > 0 && g.Now < wk.leaseFrom+c.Lease {
+			back++
+		}
+	}
+	if back < len(hung)*3/4 {
+		t.Errorf("of %d machines that hung for longer than their lease %d are back", len(hung), back)
+	}
+	g.Repeats, g.Copies = 0, 0
+	g.Check.Known(75 * second)
+	g.Run(262 * second)
+	g.Check.Served()
+	for _, b := range g.Check.Broken {
+		t.Error(b)
+	}
+	if accepted, done := g.Check.Jobs(); accepted < 50 || done < accepted {
+		t.Errorf("%d of %d jobs done at the end of the day", done, accepted)
+	}
+}
+
+// TestWorkByFleetSize counts, at 500, 1,000 and 2,000 machines with the same
+// load, what may not grow with the fleet: the leader's work on one report, the
+// machines that it looks at until a takeover is settled (by machine), and what
+// it writes on an ordinary day.
+func TestWorkByFleetSize(t *testing.T) {
+	type counts struct{ allocs, looks, changes float64 }
+	var all []counts
+	for _, zone := range []int{167, 333, 667} {
+		g := newFleet(1, zone)
+		g.load(60 * second)
+		g.Run(20 * second)
+		puts := g.puts
+		g.Run(30 * second)
+		c := counts{changes: float64(g.puts - puts)}
+		g.Leader().Crash()
+		g.Run(50 * second)
+		n := g.Leader()
+		if n == nil {
+			t.Fatal("nobody leads")
+		}
+		c.looks = float64(n.State.Looks()) / float64(g.machines)
+		wk := g.Workers[sortedKeys(g.Workers)[zone]]
+		rep := wk.report()
+		c.allocs = testing.AllocsPerRun(100, func() {
+			rep.Seq++
+			n.State.Step(n.clock(), core.Beat{Req: 1, Report: rep})
+		})
+		all = append(all, c)
+	}
+	t.Logf("%+v", all)
+	for _, c := range all[1:] {
+		if c.allocs > all[0].allocs+2 {
+			t.Errorf("a report takes %.0f allocations, %.0f in the smallest fleet", c.allocs, all[0].allocs)
+		}
+		if c.looks > 6 {
+			t.Errorf("%.1f looks a machine until a takeover is settled", c.looks)
+		}
+		if c.changes > 1.5*all[0].changes {
+			t.Errorf("%.0f changes in 10 s, %.0f in the smallest fleet", c.changes, all[0].changes)
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -94,7 +94,11 @@
 			wk.beat()
 		}
 	}
-	wk.w.After(20*time.Millisecond, wk.loop)
+	pace := wk.w.Opt.Pace
+	if pace == 0 {
+		pace = 20 * time.Millisecond
+	}
+	wk.w.After(pace, wk.loop)
 }
 
 func (wk *Worker) expire() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -28,6 +28,8 @@
 	ListLag time.Duration
 	// Capacity is how many machines of each type and zone the cloud has.
 	Capacity int
+	// Pace is how often a worker looks after its tasks; 0 means 20 ms.
+	Pace time.Duration
 	// Tamper, if set, may change a node's effects: tests of the checker break
 	// the service with it on purpose.
 	Tamper func(w *World, n *Node, e core.Effect) core.Effect
