--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,8 +265,8 @@
 	slots chan struct{}
 }
 
-// crowded says whether seven eighths of the connections are taken.
-func (l *limited) crowded() bool { return len(l.slots)*8 >= cap(l.slots)*7 }
+// crowded says whether three quarters of the connections are taken.
+func (l *limited) crowded() bool { return len(l.slots)*4 >= cap(l.slots)*3 }
 
 type limitedConn struct {
 	net.Conn
