--- /dev/null
+++ b/internal/core/leases.go
@@ -0,0 +1,137 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// Machines that are lost, missing or given up, and when a takeover is settled.
+
+// leaseEnd is when m's lease has surely run out, if nobody answers it again.
+func (s *State) leaseEnd(m *machine) time.Duration {
+	l := s.cfg.Lease
+	return m.lastBeat + l + time.Duration(float64(l)*4*Drift) + l/32
+}
+
+// lapses unbinds what was on machines whose lease has surely run out.
+func (s *State) lapses() {
+	for _, m := range s.order {
+		if m.lapsed || !m.rostered || s.now < s.leaseEnd(m) {
+			continue
+		}
+		m.lapsed, m.adopted, m.cleared = true, false, true
+		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.tenure.Term, "tasks", len(m.tasks))
+		for _, name := range ordered(m.tasks) {
+			s.unbind(m.tasks[name], "lease ran out")
+		}
+		clear(m.strangers)
+		s.odd = slices.DeleteFunc(s.odd, func(o *machine) bool { return o == m })
+		m.view.Local = nil
+		s.dirty = true
+	}
+	s.checkSettled()
+}
+
+// unaccounted says whether m may run tasks that this leader hasn't seen.
+func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.cleared }
+
+// Looks is how many machines were looked at until this term was settled.
+func (s *State) Looks() int { return s.looks }
+
+// checkSettled notes when every task of older jobs is accounted for: each
+// machine of the roster has shown all it has under this term, or is gone.
+func (s *State) checkSettled() {
+	if s.settled || !s.Leading() {
+		return
+	}
+	// It is called for each report: looking at all machines each time would
+	// make a takeover's work grow with the square of the fleet.
+	for ; s.looked < len(s.order); s.looked++ {
+		s.looks++
+		if s.unaccounted(s.order[s.looked]) {
+			return
+		}
+	}
+	s.looks += len(s.order)
+	if slices.ContainsFunc(s.order, s.unaccounted) {
+		s.looked = 0 // the order has changed meanwhile, or one has begun anew
+		return
+	}
+	s.settled, s.dirty = true, true
+	s.log(slog.LevelInfo, "all machines accounted for", "term", s.tenure.Term)
+}
+
+// overdue gives up machines on which tasks of a withdrawn job are still to be
+// seen when most of the time allowed for that has passed: whatever holds the
+// stop up, returning the machine ends them.
+func (s *State) overdue(m *machine) bool {
+	limit := s.cfg.CancelIn * 3 / 5
+	late := func(j *job) bool {
+		return j != nil && j.phase == model.PhaseAborted && s.now-max(j.overAt, s.electedAt) > limit
+	}
+	for _, t := range m.tasks {
+		if late(t.job) {
+			return true
+		}
+	}
+	for name := range m.strangers {
+		id, _, _ := model.SplitTask(name)
+		if late(s.jobs[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+// taken says whether the cloud has taken m back, as it had told. Returned by
+// name it is surely gone: its tasks needn't wait for its lease, nor a
+// successor's older jobs for its word.
+func (s *State) taken(m *machine) bool {
+	return m.recallAt != 0 && s.now >= m.recallAt+time.Second && m.heard < m.recallAt
+}
+
+// missing says whether m, of which this term has heard nothing, is given up
+// though its lease may not be over: nearly all others have shown their tasks,
+// it doesn't answer a command, and every older job waits for the last of them.
+// A lease for a handful of machines that died with the former leader would
+// hold up the whole fleet.
+func (s *State) missing(m *machine) bool {
+	return s.unaccounted(m) && m.session == 0 && m.askedInVain && s.now-s.electedAt > s.cfg.ReportEvery*5/4 && s.unseenNow*32 <= len(s.order)
+}
+
+// deaf says whether m is given up before its lease is over: it carries
+// services, neither reports nor answers, and nearly all others do, so that it
+// is the machine and not this node that is out of reach. Waiting for the lease
+// would keep the services down for longer than returning it.
+func (s *State) deaf(m *machine) bool {
+	quiet := s.cfg.Lease / 2
+	if !m.adopted || s.now-m.heard < quiet || s.now-s.electedAt < s.cfg.Lease {
+		return false
+	}
+	services := false
+	for _, t := range m.tasks {
+		services = services || t.job.Kind == model.Service && t.job.rank == 0
+	}
+	if !services {
+		return false
+	}
+	return s.othersReport()
+}
+
+// othersReport says whether nearly all machines report: one that doesn't is
+// then itself at fault, and not this node or the network.
+func (s *State) othersReport() bool {
+	there, well := 0, 0
+	for _, o := range s.order {
+		if o.adopted {
+			there++
+			if s.now-o.heard < 2*s.cfg.ReportEvery {
+				well++
+			}
+		}
+	}
+	return there > 1 && well*10 >= (there-1)*9
+}
--- /dev/null
+++ b/internal/core/rent.go
@@ -0,0 +1,258 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"mulleinfall/internal/fleet"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// Renting: what waits against what is there and on its way.
+
+// soonestBoot is the boot time of the type that is up first.
+func (s *State) soonestBoot() time.Duration {
+	boot := 0.0
+	for i := range s.typeList {
+		if b := s.typeList[i].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	return time.Duration(boot * float64(time.Second))
+}
+
+// rentMore rents for the tasks that found no room, and for the room to keep
+// free for services.
+func (s *State) rentMore() {
+	if s.renting > 0 {
+		return // what is asked for already must not be asked for twice
+	}
+	var wants []fleet.Want
+	queue := s.queueForFleet()
+	for _, j := range queue {
+		w := s.want(j, j.waiting())
+		w.Patient = !s.pressing(j)
+		wants = append(wants, w)
+	}
+	if j := s.serviceNeed(); j != nil && s.cfg.SpareServices > 0 {
+		spare := &job{Job: j.Job}
+		spare.Spread, spare.Zone = false, ""
+		wants = append(wants, s.want(spare, s.cfg.SpareServices))
+	}
+	if len(wants) == 0 {
+		return
+	}
+	var coming []fleet.Coming
+	horizon := s.now + s.soonestBoot()
+	have := map[string]int{}
+	for _, m := range s.order {
+		have[m.zone]++
+		if s.zones[m.zone].silent {
+			continue
+		}
+		if m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
+			continue
+		}
+		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
+		if m.up && (m.mute.is || s.now-m.heard >= s.silence()) {
+			continue // perhaps gone: not to be counted on
+		}
+		if m.up {
+			s.refreshView(m)
+			c.Free = m.view.Free
+			// Room that running work should free before a rented machine could
+			// be up is as good as a rented machine.
+			for _, r := range m.view.Running {
+				if r.End >= horizon {
+					break
+				}
+				c.Free = c.Free.Add(r.Need)
+			}
+			if c.Free.CPUs <= 0 || c.Free.MemoryGB <= 0 {
+				continue // full for longer: nothing to plan with
+			}
+		} else {
+			c.Free = m.view.Capacity
+		}
+		coming = append(coming, c)
+	}
+	limit := math.MaxInt
+	if s.cfg.MaxMachines > 0 {
+		limit = s.cfg.MaxMachines - len(s.machines)
+		if limit <= 0 && !s.limitTold {
+			s.limitTold = true
+			s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.tenure.Term)
+		}
+	}
+	for _, r := range fleet.Plan(wants, coming, s.offers(have), limit) {
+		s.rent(r)
+	}
+}
+
+// age is how long ago j was submitted.
+func (s *State) age(j *job) time.Duration {
+	if j.at == 0 || s.wall < j.at {
+		return 0
+	}
+	return time.Duration(s.wall-j.at) * time.Millisecond
+}
+
+// pressing says whether j can't wait any longer for room on the machines
+// there are, or for cheap ones: part of the time that its class leaves beyond
+// boot, fetch and run has passed.
+func (s *State) pressing(j *job) bool {
+	if j.Kind != model.Batch {
+		return true
+	}
+	boot, rate := 0.0, 0.0
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if t.Fits(&j.Job) && (boot == 0 || t.BootS < boot) {
+			boot, rate = t.BootS, t.FetchRate
+		}
+	}
+	// Estimates and boot times are often exceeded by half.
+	ready := 1.5*boot + j.ImageGB/max(rate, 0.001)
+	spare := s.within(j) - time.Duration((ready+1.25*j.Estimate)*float64(time.Second))
+	if start := s.cfg.Goals[j.Class].Start; start > 0 {
+		spare = min(spare, start-time.Duration(ready*float64(time.Second)))
+	}
+	return s.age(j) >= time.Duration(s.cfg.Patience*float64(spare))
+}
+
+// within is the time in which j should be done.
+func (s *State) within(j *job) time.Duration {
+	g := s.cfg.Goals[j.Class]
+	switch {
+	case g.Finish > 0:
+		return g.Finish
+	case g.Due > 0 && j.Due != nil:
+		return time.Duration(g.Due * *j.Due * float64(time.Second))
+	case j.Due != nil:
+		return time.Duration(*j.Due * float64(time.Second))
+	}
+	return s.cfg.CancelIn
+}
+
+func (s *State) want(j *job, n int) fleet.Want {
+	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
+	if j.Spread {
+		w.PerZone = func(zone string) int {
+			return j.ZoneCap() - j.zones[zone]
+		}
+	}
+	return w
+}
+
+func (s *State) queueForFleet() []*job {
+	var queue []*job
+	for _, j := range s.active {
+		if j.waiting() > 0 {
+			queue = append(queue, j)
+		}
+	}
+	sort.Slice(queue, func(a, b int) bool {
+		if queue[a].rank != queue[b].rank {
+			return queue[a].rank < queue[b].rank
+		}
+		return queue[a].arrival < queue[b].arrival
+	})
+	return queue
+}
+
+// offers lists what can be asked for now.
+func (s *State) offers(have map[string]int) []fleet.Offer {
+	var out []fleet.Offer
+	for i := range s.typeList {
+		t := s.types[s.typeList[i].Name]
+		for _, zone := range t.ZonesAvail {
+			if s.zones[zone].silent {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				if r := s.refused[offerKey{t.Name, zone, spot}]; r != nil && s.now < r.until {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				out = append(out, fleet.Offer{Type: t, Zone: zone, Spot: spot, Price: price, Have: have[zone]})
+			}
+		}
+	}
+	return out
+}
+
+// rent asks the cloud for machines. The name is built from the term, so that
+// no two requests ever share one; a repeat after silence uses the same.
+func (s *State) rent(r fleet.Rental) {
+	if s.renting >= 4 {
+		return
+	}
+	s.hires++
+	name := fmt.Sprintf("r-%d-%d", s.tenure.Term, s.hires)
+	s.rentAs(name, r, 0)
+}
+
+func (s *State) rentAs(name string, r fleet.Rental, try int) {
+	tenure := s.tenure
+	key := offerKey{r.Type, r.Zone, r.Spot}
+	ok := s.cloud(CloudCall{Op: CloudRent, Request: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, 50)}, func(d CloudDone) {
+		if s.tenure != tenure {
+			return
+		}
+		s.renting--
+		switch d.Status {
+		case 200:
+			s.log(slog.LevelInfo, "rented", "request", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(d.Hosts), "term", tenure.Term)
+			for _, h := range d.Hosts {
+				m := s.machine(h)
+				if !m.up {
+					m.hiredAt = s.now
+				}
+				m.standing = false // up before the answer that names it
+				s.describe(m, "", r.Type, r.Zone, r.Spot)
+			}
+			if len(d.Hosts) < min(r.Count, 50) {
+				s.refuse(key)
+			} else {
+				delete(s.refused, key)
+			}
+		case 0:
+			s.unsure = true
+			if try < 3 {
+				s.rentAs(name, r, try+1)
+			}
+		default:
+			s.refuse(key)
+		}
+	})
+	if ok {
+		s.renting++
+	}
+}
+
+func (s *State) refuse(key offerKey) {
+	r := s.refused[key]
+	if r == nil {
+		r = &refusal{}
+		s.refused[key] = r
+	}
+	r.count++
+	r.until = s.now + s.cfg.Lease/2<<min(r.count-1, 1)
+}
+
+type offerKey struct {
+	typ, zone string
+	spot      bool
+}
+
+type refusal struct {
+	until time.Duration
+	count int
+}
--- /dev/null
+++ b/internal/core/views.go
@@ -0,0 +1,202 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// What the dispatch rule sees of machines and jobs.
+
+// usable says whether m may be given new tasks. While its mark as silent may
+// be on the roster it isn't: a session that has begun since has a lease that no
+// successor would know of.
+func (s *State) usable(m *machine) bool {
+	return m.adopted && m.rostered && m.quietStored == 0 && !m.lapsed && !m.slow && !m.returning && !m.mute.is && m.recallAt == 0 && m.typ != nil &&
+		s.now >= m.downUntil && s.now-m.lastBeat < s.silence()
+}
+
+// silence is how long a machine may go without a report before it counts as
+// silent.
+func (s *State) silence() time.Duration { return 2*s.cfg.ReportEvery + s.cfg.Lease/8 }
+
+// refreshView works out m's free room and what runs on it, if anything has
+// changed since it was last done.
+func (s *State) refreshView(m *machine) {
+	if !m.stale {
+		return
+	}
+	m.stale = false
+	v := &m.view
+	v.Free = v.Capacity
+	v.Running = v.Running[:0]
+	v.Stays = 0
+	for _, t := range m.tasks {
+		if t.job.Kind == model.Service && !t.killing {
+			v.Stays += t.job.CPUs
+		}
+		need := sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB}
+		v.Free = v.Free.Sub(need)
+		end := sched.Never
+		if t.killing {
+			end = s.now + time.Duration(t.grace*float64(time.Second)) + time.Second
+		} else if t.job.Kind != model.Service {
+			begin := t.since
+			if t.state != model.TaskRunning {
+				begin = s.now
+				m.stale = true // the end moves on until it has begun
+			}
+			end = begin + time.Duration(t.job.Estimate*float64(time.Second))
+		}
+		v.Add(sched.Running{Need: need, End: end})
+	}
+	for name := range m.strangers {
+		if j := s.strangerJob(name); j != nil {
+			v.Free = v.Free.Sub(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB})
+		} else {
+			v.Free = sched.Resources{} // unknown size: wait until it is gone
+		}
+	}
+	kept := v.Fetching[:0]
+	for _, f := range v.Fetching {
+		if !v.Images.Has(f.Image) {
+			kept = append(kept, f)
+		}
+	}
+	v.Fetching = kept
+}
+
+// strangerJob is the job of a task that is on a machine and shouldn't be; nil
+// where its description isn't known: a job that is over is kept without it,
+// and a leader that wasn't up before knows no more.
+func (s *State) strangerJob(task string) *job {
+	id, _, _ := model.SplitTask(task)
+	if j := s.jobs[id]; j != nil && j.Team != "" {
+		return j
+	}
+	return nil
+}
+
+// roundEnv is what the dispatch rule sees of the state.
+type roundEnv struct {
+	s       *State
+	views   []*sched.Machine
+	touched []*machine // in order, each once
+	elapsed func() time.Duration
+}
+
+func (e *roundEnv) Spent() bool { return e.s.cfg.Budget > 0 && e.elapsed() >= e.s.cfg.Budget }
+
+func (e *roundEnv) touch(m *machine) {
+	if !slices.Contains(e.touched, m) {
+		e.touched = append(e.touched, m)
+	}
+}
+
+func (e *roundEnv) Allowed(sj *sched.Job, v *sched.Machine) bool {
+	return e.s.allowed(sj.Ref.(*job), v.Ref.(*machine))
+}
+
+// allowed checks type, zone, kind and the job's other tasks, counting every
+// task that may still be somewhere.
+func (s *State) allowed(j *job, m *machine) bool {
+	if m.keptFor != nil && m.keptFor != j && s.now < m.keptUntil && (!m.draining || j.rank != model.Rank(model.Prod)) {
+		return false
+	}
+	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
+		return false
+	}
+	here := j.zones[m.zone]
+	if j.OneZone && here < len(j.tasks) {
+		return false
+	}
+	return !j.Spread || here < j.ZoneCap()
+}
+
+func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.underLimit(sj.Ref.(*job)) }
+
+// underLimit says whether one more task of j keeps its team within its limit.
+func (s *State) underLimit(j *job) bool {
+	lim := s.cfg.Teams[j.Team].Limit
+	if lim.CPUs == 0 && lim.GPUs == 0 {
+		return true
+	}
+	if !s.settled {
+		// Machines that haven't shown their tasks in this term may run more
+		// of the team's than we count: even a new job has to wait, or the
+		// team would exceed its limit together with what is unseen.
+		return false
+	}
+	used := s.teams[j.Team]
+	for _, m := range s.odd {
+		for name := range m.strangers {
+			o := s.strangerJob(name)
+			if o == nil {
+				return false // whose it is isn't known: it may be this team's
+			}
+			if o.Team == j.Team {
+				used = used.Add(sched.Resources{CPUs: o.CPUs, GPUs: o.GPUs})
+			}
+		}
+	}
+	const slack = 1e-6
+	return (lim.CPUs == 0 || used.CPUs+j.CPUs <= lim.CPUs+slack) && (lim.GPUs == 0 || used.GPUs+j.GPUs <= lim.GPUs+slack)
+}
+
+// Place binds the next waiting task of a job to a machine.
+func (e *roundEnv) Place(sj *sched.Job, v *sched.Machine, path sched.Path) bool {
+	s, j, m := e.s, sj.Ref.(*job), v.Ref.(*machine)
+	i, ok := j.take()
+	if !ok {
+		sj.Waiting = 0
+		return false
+	}
+	s.attempts++
+	t := &task{
+		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session,
+		attempt: s.tenure.Term<<attemptBits | s.attempts,
+	}
+	s.bind(t)
+	sj.Waiting--
+	need := sj.Need
+	v.Free = v.Free.Sub(need)
+	end := sched.Never
+	if !sj.Endless {
+		end = s.now + sj.Estimate
+	}
+	v.Add(sched.Running{Need: need, End: end})
+	if !v.Images.Has(j.Image) {
+		found := false
+		for _, f := range v.Fetching {
+			found = found || f.Image == j.Image
+		}
+		if !found {
+			v.Fetching = append(v.Fetching, sched.Fetch{Image: j.Image, GB: j.ImageGB, Since: s.now})
+		}
+	}
+	m.idleSince = s.now
+	if m.keptFor == j {
+		m.keptFor = nil
+	}
+	s.paths[path]++
+	e.touch(m)
+	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.tenure.Term)
+	return true
+}
+
+// Undo takes back the tasks of a gang that doesn't fit as a whole. Nothing of
+// them has left this node yet.
+func (e *roundEnv) Undo(sj *sched.Job) {
+	j := sj.Ref.(*job)
+	for _, i := range ordered(j.tasks) {
+		t := j.tasks[i]
+		e.s.unlink(t)
+		e.s.unfetch(t)
+		j.retry = append(j.retry, i)
+		e.s.refreshView(t.m)
+		e.s.paths[sched.Together]--
+	}
+}
