--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -256,6 +256,26 @@
 		}
 		w.At(200*second, func() { w.Copies, w.Repeats = 0, 0 })
 	}},
+	{"the leader stands still, and clocks run on", func(w *World) {
+		w.Copies, w.Repeats = 0.1, 0.1
+		for i, at := range []time.Duration{35, 70, 105, 140} {
+			w.At(at*second+time.Duration(w.Rnd.IntN(2000))*time.Millisecond, func() {
+				l := w.Leader()
+				if l == nil {
+					return
+				}
+				l.Freeze(time.Duration(1+w.Rnd.IntN(24)) * second)
+				if i%2 == 1 { // and so does, for a moment, whoever would succeed
+					o := w.Nodes[w.Rnd.IntN(len(w.Nodes))]
+					w.After(second, func() { o.Freeze(time.Duration(500+w.Rnd.IntN(4000)) * time.Millisecond) })
+				}
+				if keys := sortedKeys(w.Workers); len(keys) > 0 {
+					w.Workers[keys[w.Rnd.IntN(len(keys))]].Hang(time.Duration(2+w.Rnd.IntN(12)) * second)
+				}
+			})
+		}
+		w.At(200*second, func() { w.Copies, w.Repeats = 0, 0 })
+	}},
 	{"a controller keeps only its workers", func(w *World) {
 		for i, at := range []time.Duration{40, 75, 110} {
 			w.At(at*second, func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -212,6 +212,7 @@
 	asks  map[uint64]func(core.Reply)
 	req   uint64
 	Boots int
+	still *pause  // stands still
 	skew  float64 // of the steady clock
 	wall  float64 // of the time of day, in parts of its bound
 }
@@ -252,7 +253,7 @@
 		return
 	}
 	n.w.tell("%s crashes", n.Name)
-	n.State = nil
+	n.State, n.still = nil, nil
 	n.life++
 	n.w.After(d, func() {
 		if n.State == nil {
@@ -261,6 +262,38 @@
 	})
 }
 
+// pause is what a process that stands still has left undone.
+type pause struct {
+	begun  bool          // the step that it stands still in was made
+	out    []core.Effect // of that step: worked out before, carried out after
+	events []core.Event
+}
+
+// Freeze has the process stand still for d while clocks run on: in the middle
+// of its next step, between the decision and what is done about it.
+func (n *Node) Freeze(d time.Duration) {
+	if n.State == nil || n.still != nil {
+		return
+	}
+	n.w.tell("%s stands still", n.Name)
+	n.still = &pause{}
+	life := n.life
+	n.w.After(d, func() {
+		p := n.still
+		if n.life != life || p == nil {
+			return
+		}
+		n.still = nil
+		n.w.tell("%s goes on", n.Name)
+		for _, e := range p.out {
+			n.effect(e)
+		}
+		for _, ev := range p.events {
+			n.Step(ev)
+		}
+	})
+}
+
 func (n *Node) tick(life int) {
 	if n.life != life || n.State == nil {
 		return
@@ -276,10 +309,21 @@
 	if n.State == nil {
 		return
 	}
+	if p := n.still; p != nil && p.begun {
+		if _, tick := ev.(core.Tick); !tick { // a ticker drops what isn't taken
+			p.events = append(p.events, ev)
+		}
+		return
+	}
 	for _, e := range n.State.Step(n.clock(), ev) {
 		if n.w.Opt.Tamper != nil {
 			e = n.w.Opt.Tamper(n.w, n, e)
 		}
+		if p := n.still; p != nil {
+			p.begun = true
+			p.out = append(p.out, e)
+			continue
+		}
 		n.effect(e)
 	}
 }
@@ -320,6 +364,10 @@
 		})
 		w.After(5*time.Second, alive(func() { n.later(core.CloudDone{Call: e.Call}) }))
 	case core.AgentCall:
+		if n.clock() >= e.Until {
+			n.later(core.AgentDone{Call: e.Call}) // as the edge: checked last
+			return
+		}
 		w.send(n.Name, e.Endpoint, func() {
 			wk := w.Workers[e.Endpoint]
 			if wk == nil {
