Let workers find the next controller before they are marked or given up

There reports come every 2.5 s, and after a crash a worker needs up to 5 s to turn to the successor; marked after 3.75 s, it had to wait for two writes of its page before an answer, and machines were given up as missing after 3.1 s. Now both wait for 5 s there, as before; at reports every 5 and 6 s nothing changes. Ruled out: sockets (890 of 1,200), commands under way (75 for 64 before).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -219,3 +219,34 @@
 		}
 	}
 }
+
+// TestWorkersFindTheNextController: after a crash workers come to the successor
+// within five seconds. Marked as silent before that, each had to wait for two
+// writes of its page, and on a day of crashes at short reports half as many
+// tasks again were killed by their lease.
+func TestWorkersFindTheNextController(t *testing.T) {
+	for _, c := range []struct{ report, want time.Duration }{
+		{1500 * time.Millisecond, 3 * time.Second}, // two reports, where a lease is short
+		{2500 * time.Millisecond, 5 * time.Second}, // as long as a worker needs
+		{6 * time.Second, 9 * time.Second},         // a report and a half
+		{3500 * time.Millisecond, 5250 * time.Millisecond},
+	} {
+		cfg := alone().cfg
+		cfg.ReportEvery, cfg.Lease, cfg.Skew = c.report, 6*c.report, time.Second
+		s := New(cfg, 0)
+		s.tenure, s.pages = election.NewTenure(s.ecf, 0, 1, 0), map[int]*page{}
+		m := s.machine("n-000001")
+		m.page, m.rostered = 1, true
+		marked := func(at time.Duration) bool {
+			s.now, s.quietAt = at, 0
+			s.markQuiet()
+			return m.quiet != 0
+		}
+		if marked(c.want - time.Millisecond) {
+			t.Errorf("reports every %v: marked before %v of silence", c.report, c.want)
+		}
+		if !marked(c.want) {
+			t.Errorf("reports every %v: not marked after %v of silence", c.report, c.want)
+		}
+	}
+}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -93,13 +93,26 @@
 	return m.recallAt != 0 && s.now >= m.recallAt+time.Second && m.heard < m.recallAt
 }
 
+// findsNext is how long a worker takes at most to turn from a controller that
+// is gone to the next: 4 s without an answer, then 1 s (PROTOCOL).
+const findsNext = 5 * time.Second
+
+// overdueReport is the silence after which a machine is rather gone than on its
+// way from one controller to the next: soon where reports are rare, late where
+// they come more often than a worker finds the next controller. Marked or given
+// up earlier, whole parts of a fleet lost their leases after a crash.
+func (s *State) overdueReport(soon, late time.Duration) time.Duration {
+	return max(soon, min(late, findsNext))
+}
+
 // missing says whether m, of which this term has heard nothing, is given up
 // though its lease may not be over: nearly all others have shown their tasks,
 // it doesn't answer a command, and every older job waits for the last of them.
 // A lease for a handful of machines that died with the former leader would
 // hold up the whole fleet.
 func (s *State) missing(m *machine) bool {
-	return s.unaccounted(m) && m.session == 0 && m.askedInVain && s.now-s.electedAt > s.cfg.ReportEvery*5/4 && s.unseenNow*32 <= len(s.order)
+	return s.unaccounted(m) && m.session == 0 && m.askedInVain &&
+		s.now-s.electedAt > s.overdueReport(s.cfg.ReportEvery*5/4, s.silence()/2+s.cfg.ReportEvery) && s.unseenNow*32 <= len(s.order)
 }
 
 // deaf says whether m is given up before its lease is over: it carries
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -192,9 +192,10 @@
 	if s.cfg.Skew <= 0 || s.now < s.quietAt {
 		return // how far clocks are apart isn't known
 	}
-	s.quietAt = s.now + s.cfg.ReportEvery/6
+	s.quietAt = s.now + max(s.cfg.ReportEvery/6, min(s.cfg.ReportEvery/2, time.Second))
+	after := s.overdueReport(s.cfg.ReportEvery*3/2, s.cfg.ReportEvery*2)
 	for _, m := range s.order {
-		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < s.cfg.ReportEvery*3/2 {
+		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < after {
 			continue
 		}
 		m.quiet = max(1, s.wallAt(m.lastBeat))
