--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"mulleinfall/internal/election"
+	"mulleinfall/internal/model"
 )
 
 // alone makes the state of a controller without peers, for tests that play
@@ -250,3 +252,30 @@
 		}
 	}
 }
+
+// TestSwampedNodeSaysSoAtOnce: a submission that couldn't be written before it
+// is given up is refused when it comes, not when its time is over.
+func TestSwampedNodeSaysSoAtOnce(t *testing.T) {
+	s := alone()
+	s.loaded, s.hasTouch, s.contact = true, true, time.Second
+	s.types["small"] = &model.MachineType{Name: "small", CPUs: 4, MemoryGB: 16}
+	s.typeList = []model.MachineType{*s.types["small"]}
+	s.writing = true // the last transaction is still under way
+	taken := 0
+	for i := range 500 {
+		j := model.Job{ID: fmt.Sprintf("req-%06d", i), Team: "t", Kind: model.Batch, Tasks: 1, CPUs: 1, MemoryGB: 1}
+		for _, e := range s.Step(time.Second, Submit{Req: uint64(i), Job: j}) {
+			if r, ok := e.(Reply); ok {
+				if r.Status != 503 || r.RetryAfter < 1 {
+					t.Fatalf("answered %+v", r)
+				}
+				if can := float64(s.writeRate.Limit()) * userWait.Seconds(); float64(taken) < can {
+					t.Errorf("refused with %d waiting, though %.0f can be written in time", taken, can)
+				}
+				return
+			}
+		}
+		taken++
+	}
+	t.Error("500 submissions wait for a state service that takes 50 changes a second")
+}
