--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -200,7 +200,7 @@
 	counts := make(map[string]int, len(s.active))
 	for id, j := range s.active {
 		if len(counts) >= 1000 {
-			break
+			break // for display only; a frame between controllers is bounded
 		}
 		counts[id] = j.liveTasks()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,9 @@
 	"mulleinfall/internal/statestore"
 )
 
-// linesPerSecond bounds the core's log; ten seconds' worth may come at once.
+// linesPerSecond bounds the core's log; ten seconds' worth may come at once: a
+// line for each of 2,000 machines when all of them are lost together. What is
+// left out is counted in the log.
 const linesPerSecond = 200
 
 // Node is one controller.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,8 +19,10 @@
 	"mulleinfall/internal/core"
 )
 
-// Limits of the channel: a frame, and what waits for a peer that is slow or
-// out of reach. Beyond that the oldest would be stale anyway.
+// Limits of the channel. A frame holds at most a job's description (64 KiB, as a
+// user may send it) or the counts of 1,000 jobs, some 20 KiB. What waits for a
+// peer that is slow or out of reach is dropped beyond the limit: promises are
+// asked for again within a second, news comes by the state service as well.
 const (
 	maxFrame = 1 << 20
 	maxQueue = 256
