Serve connections by a lean loop behind a gate; renewals go before reports

What was done: requests are read by net/http's reader in a loop of our own, without the second goroutine and read for each; a request that has arrived passes a gate, held until it has been handed to the goroutine that decides; what peers, state service, cloud and commands answer goes before questions; sockets are read and written without telling the runtime; questions belong to the one goroutine, without lock or timer; ticks at the pace of rounds (a 24th of the report interval) instead of each 50 ms.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -21,16 +20,17 @@
 
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/model"
+	"mulleinfall/internal/web"
 )
 
 // maxBody is the protocol's bound on a request body.
 const maxBody = 64 << 10
 
-// Asker hands an event to the node and waits for its reply. The event is made
-// from the number that the reply will carry. False: no reply in time, or the
-// node is overloaded.
+// Asker hands an event to the node, says so by calling handed, and waits for
+// the reply until the time given. The event is made from the number that the
+// reply will carry. False: no reply in time.
 type Asker interface {
-	Ask(make func(req uint64) core.Event, wait time.Duration) (core.Reply, bool)
+	Ask(make func(req uint64) core.Event, until time.Duration, handed func()) (core.Reply, bool)
 	Now() time.Duration
 	// Crowded says that sockets are running out.
 	Crowded() bool
@@ -51,7 +51,7 @@
 		if !method(w, r, http.MethodPost) {
 			return
 		}
-		body, ok := read(w, r)
+		body, ok := read(w, r, maxBody)
 		if !ok {
 			return
 		}
@@ -90,9 +90,8 @@
 			return
 		}
 		// A worker's list may be long; it is bounded by what it runs.
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 16*maxBody))
-		if err != nil {
-			refuse(w, err)
+		body, ok := read(w, r, 16*maxBody)
+		if !ok {
 			return
 		}
 		var rep model.Report
@@ -119,6 +118,9 @@
 // fleet come by at every controller, whose sockets are few.
 type refusals struct{ http.ResponseWriter }
 
+// Unwrap is for package web, by the convention of net/http.
+func (r refusals) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
 func (r refusals) WriteHeader(status int) {
 	if status != http.StatusOK {
 		r.Header().Set("Connection", "close")
@@ -136,17 +138,20 @@
 }
 
 // read takes a body within the bound; a longer one is refused unread.
-func read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	if r.ContentLength > maxBody {
-		refuse(w, &http.MaxBytesError{Limit: maxBody})
+func read(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	if r.ContentLength > most {
+		refuse(w, &http.MaxBytesError{Limit: most})
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
+	var body bytes.Buffer
+	if n := r.ContentLength; n > 0 && n <= maxBody {
+		body.Grow(int(n) + bytes.MinRead) // what is announced beyond that is believed when it comes
+	}
+	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, most)); err != nil {
 		refuse(w, err)
 		return nil, false
 	}
-	return body, true
+	return body.Bytes(), true
 }
 
 func refuse(w http.ResponseWriter, err error) {
@@ -160,7 +165,11 @@
 }
 
 func ask(w http.ResponseWriter, n Asker, wait time.Duration, make func(uint64) core.Event) {
-	r, ok := n.Ask(make, wait)
+	until := n.Now() + wait
+	if at := web.Arrived(w); !at.IsZero() {
+		until -= time.Since(at) // it has waited for its turn
+	}
+	r, ok := n.Ask(make, until, func() { web.Next(w) })
 	if !ok {
 		send(w, 503, core.Problem{Error: "overloaded"}, 1)
 		return
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -107,8 +107,11 @@
 	keySent time.Duration // sending of the request that last renewed the key
 	hasKey  bool
 	support map[string]time.Duration // by supporter: sending of the request
-	elected bool
-	ended   bool
+	// majority is when the last majority of them may end: asked for with every
+	// event, and worked out only when a promise comes.
+	majority time.Duration
+	elected  bool
+	ended    bool
 }
 
 // NewTenure starts a candidacy for term at now; stamp is the version of the
@@ -126,6 +129,7 @@
 	}
 	if old, ok := t.support[node]; !ok || sent > old {
 		t.support[node] = sent
+		t.majority = t.lastMajority()
 	}
 }
 
@@ -133,7 +137,7 @@
 // at sent. It fails when the promises have run out in the meantime: without
 // them nothing shows that the former leader has stopped.
 func (t *Tenure) Elected(now, sent time.Duration) bool {
-	if t.ended || now >= t.promisedUntil() {
+	if t.ended || now >= t.majority {
 		t.ended = true
 		return false
 	}
@@ -166,8 +170,8 @@
 	return t.keySent + t.shrink(t.cfg.KeyLife)
 }
 
-// promisedUntil is when the last majority of promises may end.
-func (t *Tenure) promisedUntil() time.Duration {
+// lastMajority is when the last majority of promises may end.
+func (t *Tenure) lastMajority() time.Duration {
 	need := t.cfg.Nodes/2 + 1
 	if len(t.support) < need {
 		return 0
@@ -187,14 +191,14 @@
 }
 
 // Supported says whether a majority of promises stands at now.
-func (t *Tenure) Supported(now time.Duration) bool { return now < t.promisedUntil() }
+func (t *Tenure) Supported(now time.Duration) bool { return now < t.majority }
 
 // Until is the time up to which this tenure may act as far as is known.
 func (t *Tenure) Until() time.Duration {
 	if !t.elected || t.ended {
 		return 0
 	}
-	return max(t.KeyUntil(), t.promisedUntil())
+	return max(t.KeyUntil(), t.majority)
 }
 
 // lapsed ends an elected tenure whose entitlement has run out.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +20,7 @@
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/peer"
 	"mulleinfall/internal/statestore"
+	"mulleinfall/internal/web"
 )
 
 // linesPerSecond bounds the core's log; ten seconds' worth may come at once: a
@@ -34,12 +33,17 @@
 	set   *config.Settings
 	lease time.Duration // of the workers
 	start time.Time
+	// pace is that of the ticks: as many as there may be rounds of decisions,
+	// and dozens in the life of a promise. Each wakes the process up, which on a
+	// small machine costs more than what it does then.
+	pace  time.Duration
 	state *core.State
 
-	events chan core.Event
-	nextID atomic.Uint64
-	mu     sync.Mutex
-	asks   map[uint64]chan core.Reply
+	urgent    chan core.Event // what leadership hangs on: peers, state service, cloud, answers to commands
+	questions chan question   // of users and workers
+	nextID    atomic.Uint64
+	asked     map[uint64]question // under way
+	overdueAt time.Duration       // next look for those that nobody waits for
 
 	store *statestore.Client
 	cloud *cloud.Client
@@ -50,16 +54,18 @@
 	logs     *rate.Limiter
 	unlogged int
 
-	public *limited
+	public *web.Bound
 }
 
 // New makes a controller from checked settings; Run serves it.
 func New(set *config.Settings, boot uint64) *Node {
 	sockets := set.Sockets()
-	// A connection has one request under way at most, and so one event: with
-	// room for one of each socket, a fleet that reports all at once is heard.
-	n := &Node{set: set, start: time.Now(), events: make(chan core.Event, set.Params.Limits.Files),
-		asks: map[uint64]chan core.Reply{}, links: map[string]*peer.Link{},
+	// Questions wait at the gate of the public side, one connection each, and not
+	// in a queue here: one that waits there has not been read yet. The rest is
+	// answers to what this node has asked, on as many sockets.
+	n := &Node{set: set, start: time.Now(), questions: make(chan question),
+		urgent: make(chan core.Event, set.Params.Limits.Files),
+		asked:  map[uint64]question{}, links: map[string]*peer.Link{},
 		logs: rate.NewLimiter(linesPerSecond, 10*linesPerSecond)}
 	cfg := set.Core(boot)
 	cfg.Budget = set.Budget
@@ -67,7 +73,7 @@
 		began := n.Now()
 		return func() time.Duration { return n.Now() - began }
 	}
-	n.state, n.lease = core.New(cfg, n.Now()), cfg.Lease
+	n.state, n.lease, n.pace = core.New(cfg, n.Now()), cfg.Lease, min(cfg.ReportEvery/24, cfg.Lease/128)
 	report := cfg.ReportEvery
 	client := func(perHost, idle int) *http.Client {
 		return &http.Client{
@@ -111,59 +117,97 @@
 	defer back.Close()
 	slog.Info("serving", "node", n.set.Name, "api", n.set.Listen, "peers", n.set.PeerAddr)
 
-	n.public = limit(pub, n.set.Sockets().Public)
-	srv := &http.Server{
-		Handler:           api.Handler(n),
-		ReadHeaderTimeout: 10 * time.Second,
-		ReadTimeout:       20 * time.Second,
-		// Connections across a cut stay open at this end only: they must not
-		// use up the sockets until long after.
-		IdleTimeout:    2 * n.lease,
-		MaxHeaderBytes: 16 << 10,
-		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
+	n.public = web.Limit(pub, n.set.Sockets().Public)
+	srv := &web.Server{Handler: api.Handler(n), Timeout: 2 * n.lease}
 	errs := make(chan error, 2)
-	go func() { errs <- srv.Serve(n.public) }()
+	go func() { errs <- srv.Serve(ctx, n.public) }()
 	go func() {
 		errs <- peer.Serve(ctx, back, func(from string, m core.PeerMsg) { n.post(ctx, core.PeerIn{From: from, Msg: m}) })
 	}()
 	for _, l := range n.links {
 		go l.Run(ctx)
 	}
-	tick := time.NewTicker(50 * time.Millisecond)
+	tick := time.NewTicker(n.pace)
 	defer tick.Stop()
-	n.step(ctx, core.Tick{Wall: time.Now().UnixMilli()})
+	n.tick(ctx)
 	for {
+		// A flood of reports must not put off renewals, or the leadership that
+		// the reports need is lost to them.
+		select {
+		case ev := <-n.urgent:
+			n.step(ctx, ev)
+			continue
+		case <-tick.C:
+			n.tick(ctx)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
-			srv.Close()
 			return nil
 		case err := <-errs:
-			if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err != nil && ctx.Err() == nil {
 				return fmt.Errorf("serve: %w", err)
 			}
-		case ev := <-n.events:
+		case ev := <-n.urgent:
 			n.step(ctx, ev)
 		case <-tick.C:
-			n.step(ctx, core.Tick{Wall: time.Now().UnixMilli()})
+			n.tick(ctx)
+		case q := <-n.questions:
+			n.take(ctx, q)
 		}
 	}
 }
 
-// step feeds one event to the state and carries the effects out.
-func (n *Node) step(ctx context.Context, ev core.Event) {
-	if n.abandoned(ev) {
+// question is what a user or a worker asks. Whoever waits for it is told by
+// until, one way or the other.
+type question struct {
+	id    uint64
+	event core.Event
+	until time.Duration
+	reply chan core.Reply // takes one; status 0: none in time
+}
+
+// take works on a question, unless its time is over: with the processor
+// behind, that would put off those who still wait, and a report that old says
+// nothing of its machine.
+func (n *Node) take(ctx context.Context, q question) {
+	if n.Now() >= q.until {
+		q.reply <- core.Reply{}
+		return
+	}
+	n.asked[q.id] = q
+	n.step(ctx, q.event)
+}
+
+// tick lets time-driven work happen, and ends the questions that have had no
+// answer in time.
+func (n *Node) tick(ctx context.Context) {
+	n.step(ctx, core.Tick{Wall: time.Now().UnixMilli()})
+	now := n.Now()
+	if now < n.overdueAt {
 		return
 	}
+	n.overdueAt = now + overdueEvery
+	for id, q := range n.asked {
+		if now >= q.until {
+			delete(n.asked, id)
+			q.reply <- core.Reply{}
+		}
+	}
+}
+
+// overdueEvery is how late an asker may be told that there is no answer.
+const overdueEvery = 200 * time.Millisecond
+
+// step feeds one event to the state and carries the effects out.
+func (n *Node) step(ctx context.Context, ev core.Event) {
 	for _, e := range n.state.Step(n.Now(), ev) {
 		switch e := e.(type) {
 		case core.Reply:
-			n.mu.Lock()
-			ch := n.asks[e.Req]
-			delete(n.asks, e.Req)
-			n.mu.Unlock()
-			if ch != nil {
-				ch <- e
+			if q, ok := n.asked[e.Req]; ok {
+				delete(n.asked, e.Req)
+				q.reply <- e
 			}
 		case core.StoreCall:
 			go func() { n.post(ctx, n.store.Do(ctx, e)) }()
@@ -189,109 +233,25 @@
 	}
 }
 
-// abandoned says whether ev is a question whose asker has been told to come
-// back meanwhile: with the processor behind, working on it would put off those
-// who still wait, and a report that old says nothing of its machine.
-func (n *Node) abandoned(ev core.Event) bool {
-	var req uint64
-	switch e := ev.(type) {
-	case core.Beat:
-		req = e.Req
-	case core.Submit:
-		req = e.Req
-	case core.Poll:
-		req = e.Req
-	case core.Withdraw:
-		req = e.Req
-	case core.Up:
-		req = e.Req
-	default:
-		return false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	_, asked := n.asks[req]
-	return !asked
-}
-
 // post hands an event to the owning goroutine.
 func (n *Node) post(ctx context.Context, ev core.Event) {
 	select {
-	case n.events <- ev:
+	case n.urgent <- ev:
 	case <-ctx.Done():
 	}
 }
 
 // Ask implements api.Asker.
-func (n *Node) Ask(make_ func(uint64) core.Event, wait time.Duration) (core.Reply, bool) {
+func (n *Node) Ask(make_ func(uint64) core.Event, until time.Duration, handed func()) (core.Reply, bool) {
 	id := n.nextID.Add(1)
-	ch := make(chan core.Reply, 1)
-	n.mu.Lock()
-	n.asks[id] = ch
-	n.mu.Unlock()
-	forget := func() {
-		n.mu.Lock()
-		delete(n.asks, id)
-		n.mu.Unlock()
-	}
-	select {
-	case n.events <- make_(id):
-	default:
-		forget()
-		return core.Reply{}, false
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case r := <-ch:
-		return r, true
-	case <-t.C:
-		forget()
-		return core.Reply{}, false
-	}
+	q := question{id: id, event: make_(id), until: until, reply: make(chan core.Reply, 1)}
+	n.questions <- q
+	handed()
+	r := <-q.reply
+	return r, r.Status != 0
 }
 
 // Crowded implements api.Asker: too few sockets are left for newcomers. A
 // worker reports every few seconds and can as well connect anew each time; a
 // user who finds no socket is turned away.
-func (n *Node) Crowded() bool { return n.public.crowded() }
-
-// limit bounds the open connections, so that sockets are left for the state
-// service, the cloud and the peers.
-func limit(ln net.Listener, most int) *limited {
-	return &limited{Listener: ln, slots: make(chan struct{}, most)}
-}
-
-type limited struct {
-	net.Listener
-	slots chan struct{}
-}
-
-// crowded says whether three quarters of the connections are taken.
-func (l *limited) crowded() bool { return len(l.slots)*4 >= cap(l.slots)*3 }
-
-type limitedConn struct {
-	net.Conn
-	once  sync.Once
-	slots chan struct{}
-}
-
-func (l *limited) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &limitedConn{Conn: c, slots: l.slots}, nil
-		default:
-			c.Close()
-		}
-	}
-}
-
-func (c *limitedConn) Close() error {
-	c.once.Do(func() { <-c.slots })
-	return c.Conn.Close()
-}
+func (n *Node) Crowded() bool { return n.public.Crowded() }
