Count late renewals; whoever overran its term lets the others go first

The logs of a trial build: answers to renewals took 0.4, 1.3 and 1.8 s, but the touch of the key was given up after 1 s, though its answer tells of the sending and is good for 3 s; then the two slow controllers passed the lead to and fro (328, 334, 337, 344, 351 s), a takeover each time, while the third was well.

Now a touch is waited for three quarters of the key's life, and a controller whose own entitlement ran out gives the others half a promise's start for a lease.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// TestWhoOverranLetsOthersGoFirst: a controller that could not keep its own
+// term up, short of processor time, gives the others a start. Two slow ones
+// passed the lead to and fro, a takeover each time, while a third was well.
+func TestWhoOverranLetsOthersGoFirst(t *testing.T) {
+	cfg := alone().cfg
+	cfg.Peers = []string{"n1", "n2"}
+	runs := func(overran time.Duration) time.Duration {
+		s := New(cfg, 0)
+		s.loaded, s.hasTouch, s.overran = true, true, overran
+		s.leaderGone = 20 * time.Second
+		for at := s.leaderGone; at < 30*time.Second; at += 50 * time.Millisecond {
+			s.contact = at
+			for _, e := range s.Step(at, Tick{}) {
+				if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgClaim {
+					return at - s.leaderGone
+				}
+			}
+		}
+		return time.Hour
+	}
+	if wait := runs(0); wait > 100*time.Millisecond {
+		t.Errorf("a controller that is well waits %v", wait)
+	}
+	if wait, half := runs(19*time.Second), cfg.Lease*3/32; wait < half || wait > 2*half {
+		t.Errorf("one that overran waits %v, want half of a promise, %v, and not for ever", wait, half)
+	}
+	if wait := runs(5 * time.Second); wait > 100*time.Millisecond {
+		t.Errorf("one that overran more than a lease ago still waits %v", wait)
+	}
+}
+
 // TestFreshControllerVotes: a controller that has just started doesn't know
 // what its earlier life promised. It supports a candidate at once only where
 // that can't matter: the candidate's key is guarded by the version of the term
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -24,6 +24,7 @@
 	helloAt   time.Duration
 	touching  bool
 	unreached bool          // stepped down because no worker came, and none has come since
+	overran   time.Duration // stepped down because its entitlement ran out; 0: never
 	abstain   time.Duration // no candidacy before
 
 	electedAt  time.Duration
@@ -85,6 +86,7 @@
 // settleDown ends a leadership whose entitlement has run out.
 func (s *State) settleDown() {
 	if s.tenure != nil && s.electedAt != 0 && !s.tenure.Entitled(s.now) {
+		s.overran = s.now
 		s.stepDown("entitlement ran out")
 	}
 }
@@ -225,6 +227,11 @@
 		// the others go first. Elected again, it cost the workers a lease.
 		return
 	}
+	if s.overran != 0 && s.now-s.overran < s.cfg.Lease && s.now-s.leaderGone < s.ecf.Promise/2 {
+		// It could not keep its own term up: the others go first. Two controllers
+		// that computed slowly passed the lead to and fro while a third was well.
+		return
+	}
 	term := max(s.term, s.voter.Top())
 	for _, p := range s.peers {
 		term = max(term, p.top)
@@ -408,7 +415,10 @@
 	t, sent, grant := s.tenure, s.now, s.grant
 	s.touching = true
 	s.touchAt = s.now + s.ecf.KeyLife/4
-	s.store(StoreCall{Op: StoreTouch, Lease: grant}, func(d StoreDone) {
+	// The answer tells of the sending: late, it is still worth what is left of the
+	// key's life. Given up after a second, no renewal of a leader that was short
+	// of processor time counted, and it lost its term.
+	s.store(StoreCall{Op: StoreTouch, Lease: grant, Timeout: s.ecf.KeyLife * 3 / 4}, func(d StoreDone) {
 		if s.tenure != t {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,32 +131,39 @@
 	defer tick.Stop()
 	n.tick(ctx)
 	for {
-		// A flood of reports must not put off renewals, or the leadership that
-		// the reports need is lost to them.
-		select {
-		case ev := <-n.urgent:
-			n.step(ctx, ev)
-			continue
-		case <-tick.C:
-			n.tick(ctx)
-			continue
-		default:
+		if err := n.next(ctx, tick.C, errs); err != nil || ctx.Err() != nil {
+			return err
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-errs:
-			if err != nil && ctx.Err() == nil {
-				return fmt.Errorf("serve: %w", err)
-			}
-		case ev := <-n.urgent:
-			n.step(ctx, ev)
-		case <-tick.C:
-			n.tick(ctx)
-		case q := <-n.questions:
-			n.take(ctx, q)
+	}
+}
+
+// next carries one event to the core. A flood of reports must not put off
+// renewals, or the leadership that the reports need is lost to them: what
+// leadership hangs on goes first.
+func (n *Node) next(ctx context.Context, tick <-chan time.Time, errs <-chan error) error {
+	select {
+	case ev := <-n.urgent:
+		n.step(ctx, ev)
+		return nil
+	case <-tick:
+		n.tick(ctx)
+		return nil
+	default:
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-errs:
+		if err != nil && ctx.Err() == nil {
+			return fmt.Errorf("serve: %w", err)
 		}
+	case ev := <-n.urgent:
+		n.step(ctx, ev)
+	case <-tick:
+		n.tick(ctx)
+	case q := <-n.questions:
+		n.take(ctx, q)
 	}
+	return nil
 }
 
 // question is what a user or a worker asks. Whoever waits for it is told by
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,26 @@
 	return nil, errors.New("nobody there")
 }
 
+// TestRenewalsGoFirst: with reports waiting, a leader still hears at once what
+// its leadership hangs on. It lost its term to a flood of reports.
+func TestRenewalsGoFirst(t *testing.T) {
+	n := &Node{store: &statestore.Client{HTTP: &http.Client{Transport: nobody{}}}, start: time.Now(),
+		asked: map[uint64]question{}, questions: make(chan question, 64), urgent: make(chan core.Event, 64)}
+	n.state = core.New(core.Config{Self: "a", Peers: []string{"b"}, ReportEvery: time.Second, Lease: 10 * time.Second, StoreRPS: 10, StoreWrites: 10, CloudRPS: 10}, 0)
+	for i := range 32 {
+		n.questions <- question{id: uint64(i), event: core.Beat{Req: uint64(i)}, until: time.Hour, reply: make(chan core.Reply, 1)}
+		n.urgent <- core.PeerIn{From: "b", Msg: core.PeerMsg{Kind: core.MsgNudge}}
+	}
+	for range 32 {
+		if err := n.next(t.Context(), nil, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(n.urgent) != 0 || len(n.questions) != 32 {
+		t.Errorf("after 32 events %d urgent ones and %d reports wait, want 0 and 32", len(n.urgent), len(n.questions))
+	}
+}
+
 // TestAbandonedQuestions: what waited in the queue for longer than its asker is
 // dropped unprocessed, what is answered late too; both askers are told.
 func TestAbandonedQuestions(t *testing.T) {
