Hand over who was not answered lately; ask missing machines in turn

Now a leader whose term ends while it can speak tells the others how long ago it had answered the machines that it hadn't answered lately (MsgUnanswered; only the term just before counts, and a late message is on the safe side). Direct commands go on where the sockets ran out, and zones that are cut off don't count when missing machines are counted.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -23,7 +23,9 @@
 	silentAt  map[string]time.Duration // since when a zone is out of reach
 	zoneBack  map[string]time.Duration // when one was last heard of again
 	limitTold bool                     // that the operators' limit on machines was reached
-	// unseenNow is how many machines have still to show their tasks.
+	// inReach is how many machines there are outside the zones that are cut off,
+	// unseenNow how many of them have still to show their tasks.
+	inReach   int
 	unseenNow int
 }
 
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -32,12 +32,21 @@
 	if !s.Leading() {
 		return
 	}
-	for _, m := range s.order {
+	first := s.reachFrom
+	for i := range s.order {
+		at := (first + i) % len(s.order)
+		m := s.order[at]
 		if m.direct || m.endpoint == "" || m.returning {
 			continue
 		}
 		if s.directs >= s.cfg.Directs {
-			return // the others have their turn at the next tick
+			return
+		}
+		// Whoever is left over when the sockets are used up has its turn next:
+		// begun from the front each time, a zone that was cut off had all of them
+		// for its own, and the few that everybody waited for were never asked.
+		if s.mayProbe() {
+			s.reachFrom = at
 		}
 		if m.proof != nil && s.mayProbe() {
 			s.command(m, nil, nil)
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -17,8 +17,12 @@
 	}
 	var hosts []string
 	s.zones = s.zoneView()
-	s.unseenNow = 0
+	s.unseenNow, s.inReach = 0, 0
 	for _, m := range s.order {
+		if s.zones[m.zone].silent {
+			continue // each is waited for in any case, and says nothing of the rest
+		}
+		s.inReach++
 		if s.unaccounted(m) {
 			s.unseenNow++
 		}
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,56 @@
+package core
+
+import "time"
+
+// A leader that gives its term up while it can still speak tells the others
+// which machines it has not answered lately, and for how long. Its successor
+// would otherwise have to count their leases from its own election: with a zone
+// cut off, and a leader that lost the state service before it could mark the
+// zone's machines, their replicas were down for the whole of a term more.
+
+// handover is what a leader has said of the machines when its term was over.
+type handover struct {
+	term uint64
+	at   time.Duration  // of its receipt: later than it was said, never earlier
+	ages map[string]int // ms since each was last answered
+}
+
+// handOver tells the peers, once this term has ended for good.
+func (s *State) handOver(term uint64) {
+	ages := map[string]int{}
+	for _, m := range s.order {
+		if ago := s.now - m.lastBeat; m.rostered && ago > s.cfg.ReportEvery {
+			ages[m.host] = int(ago / time.Millisecond)
+		}
+	}
+	if len(ages) == 0 {
+		return
+	}
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgUnanswered, Term: term, Counts: ages}})
+	}
+}
+
+// takenFrom takes that in. It may come before this node is elected, or after.
+func (s *State) takenFrom(m PeerMsg) {
+	if m.Term <= s.handed.term {
+		return // a copy, which tells a later time of the same; or of a term before
+	}
+	s.handed = handover{m.Term, s.now, m.Counts}
+	if !s.Leading() {
+		return
+	}
+	for _, m := range s.order {
+		if m.rostered && !m.up && m.told == 0 {
+			m.lastBeat = min(m.lastBeat, s.lastAnswered(m))
+		}
+	}
+}
+
+// handedOver is when m was last answered, as far as the leader before this one
+// has said. What an earlier one has said is of no use: the one between may have
+// answered m since.
+func (s *State) handedOver(m *machine) (time.Duration, bool) {
+	ms, ok := s.handed.ages[m.host]
+	return s.handed.at - time.Duration(ms)*time.Millisecond, ok && s.handed.term == s.before
+}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -29,11 +29,13 @@
 
 	electedAt  time.Duration
 	electedRev uint64
-	firstTerm  bool // nobody has led, and so rented, before this term
-	ready      bool // the replica has caught up with the election
-	settled    bool // every task of older jobs is accounted for
-	looked     int  // of order: the machines before are accounted for
-	looks      int  // machines looked at in search of others
+	before     uint64   // the term before this one, whose version the key was won under
+	handed     handover // by a leader whose term has ended
+	firstTerm  bool     // nobody has led, and so rented, before this term
+	ready      bool     // the replica has caught up with the election
+	settled    bool     // every task of older jobs is accounted for
+	looked     int      // of order: the machines before are accounted for
+	looks      int      // machines looked at in search of others
 	attempts   uint64
 	hires      uint64
 	dirty      bool
@@ -49,6 +51,7 @@
 	rosterAt   time.Duration
 	quietAt    time.Duration
 	directs    int                        // direct commands under way
+	reachFrom  int                        // of order: the next machine to look after by a direct command
 	teams      map[string]sched.Resources // what each team's tasks take
 	countsAt   time.Duration
 	slowAt     time.Duration
@@ -120,6 +123,9 @@
 	if s.electedAt != 0 {
 		life = 0
 	}
+	if s.ready {
+		s.handOver(term)
+	}
 	for _, p := range s.cfg.Peers {
 		s.emit(PeerOut{p, PeerMsg{Kind: MsgRelease, Term: term, Ask: life}})
 	}
@@ -237,7 +243,7 @@
 		term = max(term, p.top)
 	}
 	term++
-	s.tenure = election.NewTenure(s.ecf, s.now, term, s.termStamp)
+	s.tenure, s.before = election.NewTenure(s.ecf, s.now, term, s.termStamp), s.term
 	s.claimAt, s.grant, s.bidding = 0, 0, false
 	s.nextBid = s.now + s.ecf.Promise // candidacy ends here
 	s.bid()
@@ -534,6 +540,8 @@
 		if m.Ask == 0 || m.Ask == p.life {
 			s.voter.Release(from, m.Term)
 		}
+	case MsgUnanswered:
+		s.takenFrom(m)
 	case MsgNudge:
 		s.apply(Item{Key: m.Key, Value: m.Value, Stamp: m.Stamp})
 	case MsgCounts:
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -109,10 +109,11 @@
 // though its lease may not be over: nearly all others have shown their tasks,
 // it doesn't answer a command, and every older job waits for the last of them.
 // A lease for a handful of machines that died with the former leader would
-// hold up the whole fleet.
+// hold up the whole fleet. Zones that are cut off don't count among the others:
+// with one of three gone, nine machines held up all older jobs of the other two.
 func (s *State) missing(m *machine) bool {
 	return s.unaccounted(m) && m.session == 0 && m.askedInVain &&
-		s.now-s.electedAt > s.overdueReport(s.cfg.ReportEvery*5/4, s.silence()/2+s.cfg.ReportEvery) && s.unseenNow*32 <= len(s.order)
+		s.now-s.electedAt > s.overdueReport(s.cfg.ReportEvery*5/4, s.silence()/2+s.cfg.ReportEvery) && s.unseenNow*32 <= s.inReach
 }
 
 // deaf says whether m is given up before its lease is over: it carries
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -218,11 +218,16 @@
 	return s.wall - int64((s.wallRead-t)/time.Millisecond) + 1
 }
 
-// lastAnswered is the latest time at which a former leader may have answered m.
+// lastAnswered is the latest time at which a former leader may have answered m:
+// before this one's election, as it has said itself, and as the roster says.
 func (s *State) lastAnswered(m *machine) time.Duration {
-	if m.quietStored == 0 || s.cfg.Skew <= 0 {
-		return s.electedAt
+	last := s.electedAt
+	if at, ok := s.handedOver(m); ok {
+		last = min(last, at)
 	}
-	ago := time.Duration(s.wall-m.quietStored)*time.Millisecond + (s.now - s.wallRead) - 2*s.cfg.Skew
-	return min(s.electedAt, s.now-ago)
+	if m.quietStored != 0 && s.cfg.Skew > 0 {
+		ago := time.Duration(s.wall-m.quietStored)*time.Millisecond + (s.now - s.wallRead) - 2*s.cfg.Skew
+		last = min(last, s.now-ago)
+	}
+	return last
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -290,15 +290,16 @@
 
 // Kinds of messages between controllers.
 const (
-	MsgHello   = "hello"   // a fresh process asks whether its earlier life is still counted on
-	MsgFree    = "free"    // answers that it isn't
-	MsgClaim   = "claim"   // asks for a promise
-	MsgPromise = "promise" // answers it
-	MsgRelease = "release" // gives a term up
-	MsgNudge   = "nudge"   // a change that the sender has made durable
-	MsgCounts  = "counts"  // running tasks per job, for display
-	MsgAsk     = "ask"     // a user's request, from a node without the store
-	MsgAnswer  = "answer"
+	MsgHello      = "hello"      // a fresh process asks whether its earlier life is still counted on
+	MsgFree       = "free"       // answers that it isn't
+	MsgClaim      = "claim"      // asks for a promise
+	MsgPromise    = "promise"    // answers it
+	MsgRelease    = "release"    // gives a term up
+	MsgNudge      = "nudge"      // a change that the sender has made durable
+	MsgCounts     = "counts"     // running tasks per job, for display
+	MsgUnanswered = "unanswered" // machines that a leader had not answered lately when its term ended
+	MsgAsk        = "ask"        // a user's request, from a node without the store
+	MsgAnswer     = "answer"
 )
 
 // PeerMsg is a message between controllers. Sent is the asker's own clock and
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -210,6 +210,77 @@
 	}
 }
 
+// TestCutZoneHoldsNobodyElseUp: a zone is cut off as all controllers crash; the
+// next leader answers the other zones and loses the state service, and a few of
+// their machines die just then. Its successor finds those few missing at once,
+// though it asks hundreds of the cut zone's machines in vain, and has all
+// machines accounted for when the cut zone's leases are over.
+func TestCutZoneHoldsNobodyElseUp(t *testing.T) {
+	opt := Defaults(5)
+	opt.Config.Directs = 24
+	g := growTo(opt, 150)
+	g.load(100 * second)
+	var elected, settled []time.Duration
+	returned := map[string]time.Duration{}
+	g.Tell = true
+	tamper := g.Opt.Tamper
+	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
+		switch e := e.(type) {
+		case core.CloudCall:
+			if e.Op == core.CloudReturn {
+				for _, h := range e.Hosts {
+					returned[h] = w.Now
+				}
+			}
+		case core.Log:
+			switch e.Text {
+			case "elected":
+				elected = append(elected, w.Now)
+			case "all machines accounted for":
+				settled = append(settled, w.Now)
+			}
+		}
+		return tamper(w, n, e)
+	}
+	g.Run(40 * second)
+	cut := g.Workers[sortedKeys(g.Workers)[0]].info.Zone
+	cutZone(g.World, cut, 60*second, "drop")
+	for _, n := range g.Nodes {
+		n.Crash()
+	}
+	for g.Leader() == nil && g.Now < 60*second {
+		g.Run(g.Now + 50*time.Millisecond)
+	}
+	g.Run(g.Now + second)
+	l := g.Leader()
+	g.Store.Refuse[l.Name] = true
+	for l == g.Leader() {
+		g.Run(g.Now + 50*time.Millisecond)
+	}
+	var dead []string
+	for _, k := range sortedKeys(g.Workers) {
+		if wk := g.Workers[k]; wk.info.Zone != cut && len(dead) < 4 {
+			dead = append(dead, wk.info.Host)
+			g.Cloud.Take(wk.info.Host)
+		}
+	}
+	g.Run(70 * second)
+	if len(elected) != 3 || len(settled) != 2 {
+		t.Fatalf("elected at %v, all machines accounted for at %v", elected, settled)
+	}
+	for _, h := range dead {
+		if at := returned[h]; at == 0 || at-elected[2] > 6*second {
+			t.Errorf("%s, which died at the election at %v, was returned at %v", h, elected[2], at)
+		}
+	}
+	if over := elected[1] + opt.Config.Lease + second; settled[1] > over {
+		t.Errorf("all machines accounted for at %v, want at %v, when the leases of the cut zone are over", settled[1], over)
+	}
+	for _, b := range g.Check.Broken {
+		t.Error(b)
+	}
+}
+
 // lost counts the machines whose lease has run out since they came up.
 func (g *grown) lost() int {
 	n := 0
--- a/internal/standin/trace_test.go
+++ b/internal/standin/trace_test.go
@@ -104,6 +104,28 @@
 			l.Crash()
 		})
 	}},
+	{"handed-over", "All controllers crash and a zone is cut off, so that nobody knows when it was last answered. The next leader loses the state service before it could mark the zone's machines; it tells its successor, which doesn't give them another lease from its own election.", 90 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(service("req-000001", 9), 0) })
+		w.At(40*second, func() {
+			zone := w.host("req-000001/0").info.Zone
+			w.tell("zone %s is cut off", zone)
+			cutZone(w, zone, 40*second, "drop")
+			for _, n := range w.Nodes {
+				n.Crash()
+			}
+		})
+		var watch func()
+		watch = func() {
+			if l := w.Leader(); l != nil && w.Now > 44*second {
+				w.tell("%s leads, and loses the state service", l.Name)
+				w.Store.Refuse[l.Name] = true
+				w.After(20*second, func() { delete(w.Store.Refuse, l.Name) })
+				return
+			}
+			w.After(100*time.Millisecond, watch)
+		}
+		w.At(44*second, watch)
+	}},
 	{"out-of-earshot", "A machine's reports arrive, but nothing reaches it. What it was given starts elsewhere once its session is sure to have ended, and it is of use again later.", 110 * second, func(w *World) {
 		w.At(second, func() { w.Users.Submit(service("req-000001", 7), 0) })
 		w.At(40*second, func() {
