Bound the memory of long bodies; refuse too little memory; guard allocations and footprint

Long bodies that are under way take a sixteenth of the memory at most; beyond that the answer is 503 with Retry-After at once. Settings with less than 24 MB are refused at the start.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	// Reports are most of what a leader reads; this decodes them in a third of
@@ -44,14 +45,18 @@
 	beatWait   = 3 * time.Second
 )
 
-// Handler serves all paths.
-func Handler(n Asker) http.Handler {
+// Handler serves all paths. Bodies that are longer than most requests take no
+// more than room bytes at a time: with a connection each, a thousand clients
+// could otherwise fill the memory of a small machine.
+func Handler(n Asker, room int64) http.Handler {
 	mux := http.NewServeMux()
+	bodies := &bodies{}
+	bodies.room.Store(room)
 	mux.HandleFunc("/api/jobs", func(w http.ResponseWriter, r *http.Request) {
 		if !method(w, r, http.MethodPost) {
 			return
 		}
-		body, ok := read(w, r, maxBody)
+		body, ok := bodies.read(w, r, maxBody)
 		if !ok {
 			return
 		}
@@ -90,7 +95,7 @@
 			return
 		}
 		// A worker's list may be long; it is bounded by what it runs.
-		body, ok := read(w, r, 16*maxBody)
+		body, ok := bodies.read(w, r, 16*maxBody)
 		if !ok {
 			return
 		}
@@ -137,16 +142,33 @@
 	return false
 }
 
-// read takes a body within the bound; a longer one is refused unread.
-func read(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+// bodies reads requests' bodies within bounds.
+type bodies struct{ room atomic.Int64 }
+
+// usualBody is what nearly all bodies fit in.
+const usualBody = 4 << 10
+
+// read takes a body of at most that many bytes; a longer one is refused unread,
+// and one for which there is no room now is told to come back.
+func (b *bodies) read(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
 	if r.ContentLength > most {
 		refuse(w, &http.MaxBytesError{Limit: most})
 		return nil, false
 	}
-	var body bytes.Buffer
-	if n := r.ContentLength; n > 0 && n <= maxBody {
-		body.Grow(int(n) + bytes.MinRead) // what is announced beyond that is believed when it comes
+	size := r.ContentLength
+	if size < 0 {
+		size = most // not announced
 	}
+	if size > usualBody {
+		defer b.room.Add(size)
+		if b.room.Add(-size) < 0 {
+			w.Header().Set("Connection", "close")
+			send(w, 503, core.Problem{Error: "overloaded"}, 1)
+			return nil, false
+		}
+	}
+	var body bytes.Buffer
+	body.Grow(int(min(size, usualBody)) + bytes.MinRead) // more is believed when it comes
 	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, most)); err != nil {
 		refuse(w, err)
 		return nil, false
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -71,7 +72,7 @@
 
 func serve(f *fake, method, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	Handler(f).ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	Handler(f, 2*maxBody).ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
 	return w
 }
 
@@ -116,6 +117,70 @@
 	}
 }
 
+// TestLongBodiesShareTheRoom: long bodies that are still on their way take a
+// bounded part of the memory; whoever finds none left is told to come back at
+// once, and short requests are served all the same.
+func TestLongBodiesShareTheRoom(t *testing.T) {
+	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{}}, ok: true}
+	h := Handler(f, 20<<10)
+	beat := func(body io.Reader, length int64) *httptest.ResponseRecorder {
+		w, r := httptest.NewRecorder(), httptest.NewRequest("POST", "/agent/beat", body)
+		r.ContentLength = length
+		h.ServeHTTP(w, r)
+		return w
+	}
+	long := `{"host":"n-1","x":"` + strings.Repeat("x", 16<<10) + `"}`
+	pr, pw := io.Pipe()
+	first := make(chan int)
+	go func() { first <- beat(pr, int64(len(long))).Code }()
+	if _, err := io.WriteString(pw, long[:1]); err != nil { // its handler reads
+		t.Fatal(err)
+	}
+	if w := beat(strings.NewReader(long), int64(len(long))); w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("a second long body is answered %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	if w := beat(strings.NewReader(`{"host":"n-1"}`), 14); w.Code != 200 {
+		t.Errorf("a short one beside it is answered %d", w.Code)
+	}
+	if _, err := io.WriteString(pw, long[1:]); err != nil {
+		t.Fatal(err)
+	}
+	pw.Close()
+	if code := <-first; code != 200 {
+		t.Errorf("the first long body is answered %d", code)
+	}
+	if w := beat(strings.NewReader(long), int64(len(long))); w.Code != 200 {
+		t.Errorf("a long body after it is answered %d", w.Code)
+	}
+}
+
+// TestReportAllocations: what a report allocates on its way in and out stays
+// bounded, and grows by the tasks that it lists and nothing else.
+func TestReportAllocations(t *testing.T) {
+	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 5, Orders: []model.Order{}}}, ok: true}
+	h := Handler(f, 1<<20)
+	cost := func(tasks int) float64 {
+		var list []string
+		for i := range tasks {
+			list = append(list, fmt.Sprintf(`{"piece":"req-000412/%d","try":16777217,"phase":"running"}`, i))
+		}
+		body := `{"host":"n-000231","endpoint":"10.1.0.232:9000","flavor":"g8","site":"a","loaners":true,"tenure":1,"tick":88,"epoch":41,"recallS":null,"pieces":[` + strings.Join(list, ",") + `]}`
+		r := httptest.NewRequest("POST", "/agent/beat", nil)
+		r.ContentLength = int64(len(body))
+		return testing.AllocsPerRun(100, func() {
+			r.Body = io.NopCloser(strings.NewReader(body))
+			w := httptest.NewRecorder()
+			if h.ServeHTTP(w, r); w.Code != 200 {
+				t.Fatalf("answered %d", w.Code)
+			}
+		})
+	}
+	none, four, sixteen := cost(0), cost(4), cost(16)
+	if none > 28 || four-none > 12 || sixteen-four > 30 {
+		t.Errorf("allocations of reports with 0, 4 and 16 tasks: %v, %v, %v", none, four, sixteen)
+	}
+}
+
 // TestLateAnswerIsHeldBack: an answer that waited for the processor past the
 // leader's entitlement must not renew a worker's lease.
 func TestLateAnswerIsHeldBack(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -149,6 +149,10 @@
 	return s, nil
 }
 
+// leastMemoryMB is what a controller takes at rest (some 20 MB resident), and a
+// little for its work.
+const leastMemoryMB = 24
+
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
 func (p *Platform) check() error {
@@ -192,6 +196,9 @@
 			return fmt.Errorf("%s: %v is not above 0", f.field, f.value)
 		}
 	}
+	if pr.Limits.MemoryMB < leastMemoryMB {
+		return fmt.Errorf("facts.quota.ram_mb: %v: at least %v are needed", pr.Limits.MemoryMB, leastMemoryMB)
+	}
 	if pr.SkewMS < 0 {
 		return fmt.Errorf("facts.skew_ms: %v is below 0", pr.SkewMS)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -52,6 +52,8 @@
 		{`"lease_s": 20`, `"lease_s": 4`, "", "less than two reports"},
 		{`"count": 2`, `"count": 3`, "", "facts.count: 3, but others names 1"},
 		{`"fd_limit": 1000`, `"fd_limit": 40`, "", "facts.quota.fd_limit: 40 is too few for 2 controllers"},
+		{`"ram_mb": 100`, `"ram_mb": 16`, "", "facts.quota.ram_mb: 16: at least 24 are needed"},
+		{`"core_share": 0.2`, `"core_share": 0`, "", "facts.quota.core_share: 0 is not above 0"},
 		{`"name": "t"`, `"name": ""`, "", "facts.teams[0].name: missing"},
 		{`{`, ``, "", "not valid JSON"},
 		{``, ``, "dispatch {\n skip_limit = -1\n}\n", "o.hcl: dispatch.skip_limit: -1 is below 0"},
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -65,6 +66,46 @@
 	}
 }
 
+// TestFootprint bounds what the tables take of the memory: a machine, a job, and
+// the outcome of a job that is over, which is kept for ever.
+func TestFootprint(t *testing.T) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	const n = 4000
+	grows := func(item func(i int) Item) float64 {
+		s := alone()
+		c, _ := storeCall(s.Step(0, Tick{}), StoreList)
+		before := heap()
+		for i := range n {
+			s.apply(item(i))
+		}
+		s.out = nil
+		each := (heap() - before) / n
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(c)
+		return each
+	}
+	machine := grows(func(i int) Item {
+		v := rosterValue{Endpoint: fmt.Sprintf("10.1.%d.%d:9000", i/200, i%200), Type: "small", Zone: "a"}
+		return Item{Key: fmt.Sprintf("%s%d", dirPage, i+1), Value: raw(map[string]rosterValue{fmt.Sprintf("n-%06d", i): v}), Stamp: uint64(i + 1)}
+	})
+	job := grows(func(i int) Item {
+		id := fmt.Sprintf("req-%06d", i)
+		return Item{Key: dirJobs + id, Value: raw(jobValue{Spec: &model.Job{ID: id, Team: "t", Class: "c", Kind: model.Batch, Priority: model.Low, Tasks: 40, Image: "img"}}), Stamp: uint64(i + 1)}
+	})
+	over := grows(func(i int) Item {
+		return Item{Key: fmt.Sprintf("%sreq-%06d", dirJobs, i), Value: raw(jobValue{Phase: model.PhaseDone, Tasks: 40}), Stamp: uint64(i + 1)}
+	})
+	t.Logf("bytes of the heap: a machine %.0f, a job %.0f, an outcome %.0f", machine, job, over)
+	if machine > 2048 || job > 2048 || over > 1024 {
+		t.Errorf("bytes of the heap: a machine %.0f, a job %.0f, an outcome %.0f; at most 2048, 2048 and 1024 are allowed", machine, job, over)
+	}
+}
+
 // TestUnreachedNodeLetsOthersGoFirst: a node that gave up leading because no
 // worker reached it was elected again when its successor crashed, and cost the
 // workers a lease. It now runs only when nobody else has after a while, or
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 	slog.Info("serving", "node", n.set.Name, "api", n.set.Listen, "peers", n.set.PeerAddr)
 
 	n.public = web.Limit(pub, n.set.Sockets().Public)
-	srv := &web.Server{Handler: api.Handler(n), Timeout: 2 * n.lease}
+	srv := &web.Server{Handler: api.Handler(n, int64(n.set.Params.Limits.MemoryMB*(1<<20)/16)), Timeout: 2 * n.lease}
 	errs := make(chan error, 2)
 	go func() { errs <- srv.Serve(ctx, n.public) }()
 	go func() {
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -292,6 +292,33 @@
 	return n
 }
 
+// TestAllocationsOfReports: what the core allocates for a report that brings
+// nothing new and for its answer is a handful, whatever the size of the fleet.
+func TestAllocationsOfReports(t *testing.T) {
+	cost := func(zone int) float64 {
+		g := growTo(Defaults(2), zone)
+		g.load(20 * second)
+		g.Run(20 * second)
+		n, wk := g.Leader(), g.Workers[sortedKeys(g.Workers)[7]]
+		reports := make([]model.Report, 201)
+		for i := range reports {
+			reports[i] = wk.report()
+		}
+		i := 0
+		return testing.AllocsPerRun(200, func() {
+			out := n.State.Step(n.clock(), core.Beat{Req: 1, Report: reports[i]})
+			i++
+			if len(out) == 0 {
+				t.Fatal("no answer at once")
+			}
+		})
+	}
+	small, large := cost(50), cost(150)
+	if small > 12 || large > small+8 {
+		t.Errorf("%v allocations a report with 150 machines, %v with 450", small, large)
+	}
+}
+
 // TestFleet is a day of some 2,000 machines: it starts, serves, loses its
 // leader, then all controllers, which are back within a moment and crash again
 // inside the election, and a hundred machines hang for longer than their lease.
