--- a/internal/web/direct_linux.go
+++ b/internal/direct/direct_linux.go
@@ -1,4 +1,10 @@
-package web
+// Package direct reads and writes sockets by system calls that the runtime isn't
+// told of. It need not be: such a socket never blocks, and net still does the
+// waiting. Told of a call, a process that was idle wakes the runtime's watchdog
+// thread, which then looks around some 20 µs apart until all is idle again: on a
+// controller that wakes up for each report that was two fifths of all its
+// processor time.
+package direct
 
 import (
 	"io"
@@ -7,13 +13,9 @@
 	"unsafe"
 )
 
-// direct reads and writes c's socket by system calls that the runtime isn't
-// told of. It need not be: the socket never blocks, and net still does the
-// waiting. Told of a call, a process that was idle wakes the runtime's watchdog
-// thread, which then looks around some 20 µs apart until all is idle again: on
-// a controller that wakes up for each report that was two fifths of all its
-// processor time.
-func direct(c net.Conn) net.Conn {
+// Conn is c with direct reads and writes, or c itself where it has no socket of
+// that kind.
+func Conn(c net.Conn) net.Conn {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return c
@@ -22,10 +24,10 @@
 	if err != nil {
 		return c
 	}
-	return &directConn{Conn: c, raw: raw}
+	return &conn{Conn: c, raw: raw}
 }
 
-type directConn struct {
+type conn struct {
 	net.Conn
 	raw syscall.RawConn
 }
@@ -52,7 +54,7 @@
 	return int(n), nil
 }
 
-func (c *directConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
@@ -63,7 +65,7 @@
 	return n, err
 }
 
-func (c *directConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	done := 0
 	for done < len(p) {
 		n, err := call(c.raw.Write, syscall.SYS_WRITE, p[done:])
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"mulleinfall/internal/cloud"
 	"mulleinfall/internal/config"
 	"mulleinfall/internal/core"
+	"mulleinfall/internal/direct"
 	"mulleinfall/internal/peer"
 	"mulleinfall/internal/statestore"
 	"mulleinfall/internal/web"
@@ -75,10 +76,17 @@
 	}
 	n.state, n.lease, n.pace = core.New(cfg, n.Now()), cfg.Lease, min(cfg.ReportEvery/24, cfg.Lease/128)
 	report := cfg.ReportEvery
+	dialer := &net.Dialer{Timeout: report}
 	client := func(perHost, idle int) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: report}).DialContext,
+				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+					c, err := dialer.DialContext(ctx, network, addr)
+					if err != nil {
+						return nil, err
+					}
+					return direct.Conn(c), nil
+				},
 				MaxIdleConnsPerHost: perHost,
 				MaxIdleConns:        idle,
 				IdleConnTimeout:     time.Minute,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"mulleinfall/internal/core"
+	"mulleinfall/internal/direct"
 )
 
 // Limits of the channel. A frame holds at most a job's description (64 KiB, as a
@@ -78,12 +79,13 @@
 		}
 		if conn == nil {
 			d := net.Dialer{Timeout: l.timeout}
-			if conn, err = d.DialContext(ctx, "tcp", l.addr); err != nil {
-				conn = nil
+			c, err := d.DialContext(ctx, "tcp", l.addr)
+			if err != nil {
 				slog.Debug("peer not reached", "peer", l.addr, "error", err)
 				l.drain()
 				continue
 			}
+			conn = direct.Conn(c)
 		}
 		if err := conn.SetWriteDeadline(time.Now().Add(l.timeout)); err == nil {
 			_, err = conn.Write(b)
@@ -163,7 +165,7 @@
 		}
 		go func() {
 			defer conn.Close()
-			if err := Read(conn, deliver); err != nil {
+			if err := Read(direct.Conn(conn), deliver); err != nil {
 				slog.Debug("peer connection ended", "error", err)
 			}
 		}()
--- a/internal/web/limit.go
+++ b/internal/web/limit.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"mulleinfall/internal/direct"
 )
 
 // Bound is a listener that keeps to a number of open connections, so that
@@ -30,7 +32,7 @@
 		}
 		select {
 		case b.slots <- struct{}{}:
-			return &boundConn{Conn: direct(c), slots: b.slots}, nil
+			return &boundConn{Conn: direct.Conn(c), slots: b.slots}, nil
 		default:
 			c.Close()
 		}
