Give the gate back however a connection ends; give late requests time for their answers

Found by reading: a client that said Expect and sent its body along, and was gone when told to continue, left the gate of the public side locked for ever: no request was read any more. And a request that came at the very end of its connection's time lost its answer with it. Both are tests now, the second on virtual time (TestGateIsFreeInTheEnd, TestLateRequestIsAnswered). Ruled out: the other ways out of the loop, each of which now passes the same deferred call.

--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -36,8 +36,8 @@
 // Server answers the requests of a listener's connections, one at a time each.
 type Server struct {
 	Handler http.Handler
-	// Timeout bounds how long a connection may wait for its next request, and
-	// that request for all of its bytes and its answer.
+	// Timeout bounds how long a connection may wait for its next request, and half
+	// of it at least remains for that request's bytes and its answer.
 	Timeout time.Duration
 
 	// gate lets requests in one after the other, each until its handler has
@@ -105,8 +105,8 @@
 	defer c.Close()
 	a := &answer{header: http.Header{}}
 	defer func() {
+		a.next()                      // whatever ended it: the others wait at the gate
 		if r := recover(); r != nil { // one request must not end the process
-			a.next()
 			slog.Error("handler failed", "panic", r, "stack", string(debug.Stack()))
 		}
 	}()
@@ -115,7 +115,8 @@
 	for {
 		// Connections across a cut stay open at this end only: without a limit
 		// they would use up the sockets.
-		if c.SetDeadline(time.Now().Add(s.Timeout)) != nil {
+		began := time.Now()
+		if c.SetDeadline(began.Add(s.Timeout)) != nil {
 			return
 		}
 		in.left = maxHeader
@@ -128,6 +129,12 @@
 			return
 		}
 		in.left = -1
+		if a.arrived.Sub(began) > s.Timeout/2 {
+			// It has come late in the time of its connection, and needs some of its own.
+			if c.SetDeadline(a.arrived.Add(s.Timeout)) != nil {
+				return
+			}
+		}
 		a.reset(req.Close || !req.ProtoAtLeast(1, 1))
 		switch {
 		case req.Host == "" && req.ProtoAtLeast(1, 1):
@@ -136,6 +143,7 @@
 			a.refuse(http.StatusExpectationFailed)
 		default:
 			if req.Header.Get("Expect") != "" {
+				a.next() // the client may be slow to take even that
 				if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 					return
 				}
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -159,6 +160,51 @@
 	}
 }
 
+// TestGateIsFreeInTheEnd: a connection that breaks while it holds the gate gives
+// it back.
+func TestGateIsFreeInTheEnd(t *testing.T) {
+	s := &Server{Timeout: time.Hour, Handler: echo}
+	for _, said := range []string{
+		"POST /b HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok",
+		"GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST /fail HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		s.serve(&broken{script{in: strings.NewReader(said)}})
+		if !s.gate.TryLock() {
+			t.Fatalf("the gate is held for ever after %q", said)
+		}
+		s.gate.Unlock()
+	}
+}
+
+// broken is a connection that takes nothing.
+type broken struct{ script }
+
+func (*broken) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// TestLateRequestIsAnswered: a request that comes at the end of the time that its
+// connection may wait still has time for its answer; one that never comes has not.
+func TestLateRequestIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Timeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(4 * time.Second)
+		})}
+		client, server := net.Pipe()
+		go s.serve(server)
+		time.Sleep(9 * time.Second)
+		if _, err := io.WriteString(client, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if r, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || r.StatusCode != 200 {
+			t.Fatalf("answered %v, %v", r, err)
+		}
+		began := time.Now()
+		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || time.Since(began) != 10*time.Second {
+			t.Errorf("idle, the connection ends with %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 // wrapped is a writer as handlers put one round another.
 type wrapped struct{ http.ResponseWriter }
 
