--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,14 +29,18 @@
 // left out is counted in the log.
 const linesPerSecond = 200
 
+// slowestPace bounds the time between two ticks where reports are rare: a new
+// leader asks its machines by the tick, and large fleets waited for that.
+const slowestPace = 100 * time.Millisecond
+
 // Node is one controller.
 type Node struct {
 	set   *config.Settings
 	lease time.Duration // of the workers
 	start time.Time
-	// pace is that of the ticks: as many as there may be rounds of decisions,
-	// and dozens in the life of a promise. Each wakes the process up, which on a
-	// small machine costs more than what it does then.
+	// pace is that of the ticks: as many as there may be rounds of decisions. Each
+	// wakes the process up, which on a small machine costs more than what it does
+	// then.
 	pace  time.Duration
 	state *core.State
 
@@ -74,7 +78,7 @@
 		began := n.Now()
 		return func() time.Duration { return n.Now() - began }
 	}
-	n.state, n.lease, n.pace = core.New(cfg, n.Now()), cfg.Lease, min(cfg.ReportEvery/24, cfg.Lease/128)
+	n.state, n.lease, n.pace = core.New(cfg, n.Now()), cfg.Lease, min(cfg.ReportEvery/24, slowestPace)
 	report := cfg.ReportEvery
 	dialer := &net.Dialer{Timeout: report}
 	client := func(perHost, idle int) *http.Client {
