--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -319,6 +319,43 @@
 	}
 }
 
+// TestAllocationsOfRounds: rounds of decisions and ticks that find nothing to do,
+// while a job waits that fits nowhere now, go over all machines, but allocate less
+// than once for each.
+func TestAllocationsOfRounds(t *testing.T) {
+	cost := func(zone int) float64 {
+		g := growTo(Defaults(2), zone)
+		for i := range zone { // each takes three machines
+			g.At(second, func() { g.Users.Submit(service(fmt.Sprintf("req-%06d", i), 6), 0) })
+		}
+		g.At(30*second, func() {
+			j := batch("req-900000", 4)
+			g.Users.Submit(j, 10*second)
+		})
+		g.Run(40 * second)
+		n := g.Leader()
+		made := func() (all int) {
+			for _, n := range g.rounds {
+				all += n
+			}
+			return all
+		}
+		now, before := n.clock(), made()
+		each := testing.AllocsPerRun(4, func() { // and once before
+			now += g.Opt.Config.ReportEvery/6 + time.Millisecond // a round is due each sixth
+			n.State.Step(now, core.Tick{Wall: now.Milliseconds()})
+		})
+		if got := made() - before; got < 5 || !n.State.LeadingAt(now) {
+			t.Fatalf("%d rounds in 5 ticks, leading: %v", got, n.State.LeadingAt(now))
+		}
+		return each
+	}
+	small, large := cost(50), cost(150)
+	if small > 150 || large > 450 {
+		t.Errorf("%v allocations a tick and round with 150 machines, %v with 450", small, large)
+	}
+}
+
 // TestFleet is a day of some 2,000 machines: it starts, serves, loses its
 // leader, then all controllers, which are back within a moment and crash again
 // inside the election, and a hundred machines hang for longer than their lease.
