Bound how old a leader's view of cancellations may be; lease reads in an outage

Cause: a controller told its user that a job is cancelled as soon as the state service had it, and told the others in passing. Where that word didn't reach a leader that the state service refused, and the service then went out for all, the leader went on by the third controller's promise for as long as the outage lasted.

Change: an elected leader may act only while its view is younger than cancel_s less a lease and a reserve, counted for each other controller from its last complete read of the state service or the end of a read lease. Under a read lease its grantor tells nobody of a cancellation that the leader hasn't acknowledged; it is granted with a promise, only by a controller that has lost the state service as well, and brings along what the leader may not know of.

Ruled out: waiting for the leader's word before every confirmation (users would wait whenever the leader ends, and it says nothing after a restart); a fixed limit on acting without the state service (every outage over 19 s would end all tasks; TestOutageKeepsTasks).

--- /dev/null
+++ b/internal/core/cancels.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// Whoever may act must know of a cancellation soon enough after a user was told
+// of it, also a leader that the state service refuses. With the state service
+// out for all right after that, a leader that one controller's promise carried
+// on kept the tasks of jobs that the other had confirmed as cancelled, far
+// beyond cancel_s. So a leader's view may be no older than staleness: counted
+// from its last complete read, or from the end of the read leases that the
+// other controllers grant it when it has lost the state service. Under a read
+// lease its grantor tells no user of a cancellation that the leader hasn't
+// acknowledged. docs/design.md has the whole argument.
+
+// cancels is what a controller keeps for that.
+type cancels struct {
+	// unshared are the cancelled jobs of which the leader isn't known to know,
+	// with the version of each.
+	unshared map[string]uint64
+	untold   []untold // users whose answer waits for the leader's acknowledgement
+}
+
+// untold is a user who asked about a job that is cancelled.
+type untold struct {
+	from  origin
+	job   *job
+	until time.Duration
+}
+
+// staleness is how old a leader's view of the cancellations may be: once it has
+// stopped, the workers' leases run out. A sixteenth and the drift of the clocks
+// stay in reserve. With hardly more time than a lease to cancel in, it is what a
+// leader needs to be one at all.
+func staleness(cfg Config) time.Duration {
+	spare := cfg.CancelIn - cfg.Lease
+	return max(spare-spare/16-time.Duration(float64(cfg.CancelIn)*4*Drift), promise(cfg))
+}
+
+// mostUnshared bounds what is told at a time; with more, no read lease is
+// granted.
+const mostUnshared = 2000
+
+// hasRead notes that this copy is complete as of sent.
+func (s *State) hasRead(sent time.Duration) {
+	s.readAt = max(s.readAt, sent)
+	if s.tenure != nil {
+		s.tenure.Read(sent)
+	}
+}
+
+// shared notes that whoever leads knows of all changes up to rev.
+func (s *State) shared(rev uint64) {
+	for id, stamp := range s.unshared {
+		if stamp <= rev {
+			delete(s.unshared, id)
+		}
+	}
+}
+
+// leaseRead grants a read lease with a promise, if the leader asks for one and
+// this node has lost the state service as well: with it, this node could be
+// asked to confirm cancellations, and the leader had better go. Both measures
+// are well above what passes between two reads on an ordinary day: leased then,
+// cancellations would wait for a leader that has just ended.
+func (s *State) leaseRead(claim PeerMsg, reply *PeerMsg) {
+	if !claim.Read || s.storeAge() < s.ecf.Staleness/8 || len(s.unshared) > mostUnshared {
+		return
+	}
+	s.voter.GrantRead(s.now, claim.Term)
+	reply.Read, reply.Loaded, reply.Age, reply.Counts = true, s.loaded, s.now-s.born, s.cancelled()
+}
+
+// cancelled lists what the leader may not know of.
+func (s *State) cancelled() map[string]int {
+	list := make(map[string]int, len(s.unshared))
+	for id, stamp := range s.unshared {
+		list[id] = int(stamp)
+	}
+	return list
+}
+
+// readLeased takes a read lease and what comes with it.
+func (s *State) readLeased(from string, m PeerMsg) {
+	if !m.Read {
+		return
+	}
+	s.learn(from, m.Counts)
+	age := m.Age - time.Duration(float64(m.Age)*2*Drift)
+	s.tenure.LeasedRead(from, m.Sent, s.now-age, m.Loaded)
+}
+
+// learn takes cancellations from another controller. They are durable, and a
+// leader acknowledges them.
+func (s *State) learn(from string, list map[string]int) {
+	for _, id := range ordered(list) {
+		s.apply(Item{Key: dirJobs + id, Value: raw(jobValue{Phase: model.PhaseAborted}), Stamp: uint64(list[id])})
+	}
+	if len(list) > 0 && s.Leading() {
+		s.emit(PeerOut{from, PeerMsg{Kind: MsgKnown, Term: s.tenure.Term, Counts: list}})
+	}
+}
+
+// acknowledged notes what a leader knows of. Its successors have read it.
+func (s *State) acknowledged(m PeerMsg) {
+	if m.Term < s.term {
+		return // its successor may have been elected before the cancellation
+	}
+	for id, stamp := range m.Counts {
+		if s.unshared[id] == uint64(stamp) {
+			delete(s.unshared, id)
+		}
+	}
+	s.tellWaiting()
+}
+
+// mayTell says whether a user may be told that j is cancelled.
+func (s *State) mayTell(j *job) bool {
+	_, unshared := s.unshared[j.ID]
+	return !unshared || j.phase != model.PhaseAborted || s.Leading() || !s.voter.ReadLeased(s.now, s.term)
+}
+
+// tell answers with a job's state. Of a cancellation nobody is told before the
+// leader knows of it, where it relies on that; it is asked, and after a moment
+// without its word the user is told to come back.
+func (s *State) tell(o origin, j *job) {
+	if s.mayTell(j) {
+		s.answer(o, 200, s.status(j), 0)
+		return
+	}
+	if len(s.untold) >= s.cfg.Requests {
+		s.later(o, "too many requests under way")
+		return
+	}
+	s.untold = append(s.untold, untold{o, j, s.now + userWait/2})
+	for _, p := range s.cfg.Peers {
+		s.emit(PeerOut{p, PeerMsg{Kind: MsgCancelled, Counts: map[string]int{j.ID: int(s.unshared[j.ID])}}})
+	}
+}
+
+// tellWaiting answers the users who wait for that.
+func (s *State) tellWaiting() {
+	waiting := s.untold
+	s.untold = nil
+	for _, u := range waiting {
+		switch {
+		case s.mayTell(u.job):
+			s.answer(u.from, 200, s.status(u.job), 0)
+		case s.now >= u.until:
+			s.later(u.from, "the leader does not answer")
+		default:
+			s.untold = append(s.untold, u)
+		}
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -137,6 +137,9 @@
 		j.phase, j.overAt = v.Phase, s.now
 		delete(s.active, id)
 		s.log(slog.LevelInfo, "job over", "job", id, "phase", v.Phase)
+		if v.Phase == model.PhaseAborted && it.Stamp > s.termStamp {
+			s.unshared[id] = it.Stamp
+		}
 		if s.tenure != nil && s.electedAt != 0 {
 			s.jobOver(j)
 		}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -360,8 +360,13 @@
 	if s.voter.Grant(s.now, s.cfg.Self, t.Term) {
 		t.Promised(s.now, s.cfg.Self, s.now)
 	}
+	m := PeerMsg{Kind: MsgClaim, Ask: s.cfg.Boot, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}
+	if s.ready {
+		s.shared(s.rev)
+		m.Rev, m.Read = s.rev, s.now-s.readAt > s.ecf.Staleness/4
+	}
 	for _, p := range s.cfg.Peers {
-		s.emit(PeerOut{p, PeerMsg{Kind: MsgClaim, Ask: s.cfg.Boot, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}})
+		s.emit(PeerOut{p, m})
 	}
 }
 
@@ -498,6 +503,9 @@
 		}
 	case MsgClaim:
 		p.storeOK, p.heard = m.StoreOK, s.now
+		if m.Rev != 0 && m.Term >= s.term {
+			s.shared(m.Rev)
+		}
 		cut := false
 		if m.StoreAge > s.storeGap() && s.storeAge() < s.storeGap()/2 && s.contact-s.okSince > s.storeGap()/2 {
 			// The claimant has lost the state service and this node has not.
@@ -512,11 +520,13 @@
 		}
 		s.vouch(from, m.Term, m.Stamp)
 		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
+		reply := PeerMsg{Kind: MsgPromise, Ask: m.Ask, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
+			StoreOK: s.storeOK(), Top: max(s.term, s.voter.Top())}
 		if granted {
 			p.life = m.Ask
+			s.leaseRead(m, &reply)
 		}
-		s.emit(PeerOut{from, PeerMsg{Kind: MsgPromise, Ask: m.Ask, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
-			StoreOK: s.storeOK(), Top: max(s.term, s.voter.Top())}})
+		s.emit(PeerOut{from, reply})
 	case MsgPromise:
 		p.storeOK, p.heard, p.top = m.StoreOK, s.now, m.Top
 		if s.tenure == nil || s.tenure.Term != m.Term || m.Ask != s.cfg.Boot {
@@ -526,6 +536,7 @@
 		}
 		if m.Granted {
 			s.tenure.Promised(s.now, from, m.Sent)
+			s.readLeased(from, m)
 			if s.electedAt == 0 {
 				s.bid()
 			}
@@ -540,6 +551,10 @@
 		if m.Ask == 0 || m.Ask == p.life {
 			s.voter.Release(from, m.Term)
 		}
+	case MsgCancelled:
+		s.learn(from, m.Counts)
+	case MsgKnown:
+		s.acknowledged(m)
 	case MsgUnanswered:
 		s.takenFrom(m)
 	case MsgNudge:
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -35,6 +35,7 @@
 	syncAt   time.Duration
 	contact  time.Duration // sending of the last request that was answered
 	okSince  time.Duration // contact without a gap since
+	readAt   time.Duration // sending of the last read that made this copy complete
 	hasTouch bool
 
 	termStamp   uint64
@@ -78,7 +79,7 @@
 func (s *State) load() {
 	s.loading = true
 	var rev uint64
-	first := true
+	first, sent := true, s.now
 	seen := map[string]bool{}
 	var page func(from string)
 	page = func(from string) {
@@ -110,6 +111,7 @@
 			}
 			s.loading, s.loaded = false, true
 			s.rev = max(s.rev, rev)
+			s.hasRead(sent)
 			s.buryEarlierLife()
 			s.log(slog.LevelInfo, "state loaded", "rev", s.rev, "jobs", len(s.jobs), "machines", len(s.machines))
 		})
@@ -133,7 +135,7 @@
 	s.store(StoreCall{Op: StoreWatch, Prefix: root, After: s.rev, Block: time.Second, Timeout: 2 * time.Second}, func(d StoreDone) {
 		s.watching = false
 		s.watchAt = max(s.now, sent+200*time.Millisecond)
-		s.news(d)
+		s.news(d, sent)
 	})
 }
 
@@ -152,13 +154,14 @@
 	}
 }
 
-func (s *State) news(d StoreDone) bool {
+func (s *State) news(d StoreDone, sent time.Duration) bool {
 	switch d.Status {
 	case 200:
 		for _, it := range d.Items {
 			s.apply(it)
 		}
 		s.rev = max(s.rev, d.Rev)
+		s.hasRead(sent)
 		return true
 	case 410:
 		// Too far behind: read everything again.
@@ -191,7 +194,7 @@
 		s.syncing = false
 		// Spaced so that polls alone can't use up the request rate.
 		s.syncAt = sent + time.Duration(float64(4*s.ecf.Nodes)/s.cfg.StoreRPS*float64(time.Second))
-		s.endSync(waiters, s.news(d))
+		s.endSync(waiters, s.news(d, sent))
 	})
 }
 
@@ -224,6 +227,7 @@
 		var v termValue
 		if json.Unmarshal(it.Value, &v) == nil {
 			s.term, s.termStamp, s.termNode = max(s.term, v.Term), it.Stamp, v.Node
+			s.shared(it.Stamp) // whoever won it has read all before
 		}
 		s.superseded()
 	case it.Key == keyLeader:
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -20,6 +20,8 @@
 	cfg Config
 	ecf election.Config
 	now time.Duration
+	// born is when this process began.
+	born time.Duration
 	// wall is the time of day at the last tick.
 	wall     int64
 	wallRead time.Duration // when that was
@@ -35,6 +37,7 @@
 	writer
 	users
 	lead
+	cancels
 
 	types    map[string]*model.MachineType
 	typeList []model.MachineType
@@ -47,18 +50,20 @@
 	odd      []*machine // those with tasks that they shouldn't have
 }
 
+// promise is how long key and promise live: a part of the workers' lease. A
+// successor can follow when both are over, and a controller that starts anew
+// sleeps as long before it promises anything. What is left of the lease must
+// cover a restart of the controllers, and the workers' search for the successor.
+func promise(cfg Config) time.Duration { return cfg.Lease * 3 / 16 }
+
 // New makes the state of a controller that starts at now.
 func New(cfg Config, now time.Duration) *State {
-	// Key and promise each live for a part of the workers' lease: a successor
-	// can follow when both are over, and a controller that starts anew sleeps
-	// as long before it promises anything. What is left of the lease must
-	// cover a restart of the controllers, and the workers' search for the
-	// successor.
-	hold := cfg.Lease * 3 / 16
-	ecf := election.Config{Self: cfg.Self, Nodes: len(cfg.Peers) + 1, KeyLife: hold, Promise: hold, Drift: Drift}
+	hold := promise(cfg)
+	ecf := election.Config{Self: cfg.Self, Nodes: len(cfg.Peers) + 1, KeyLife: hold, Promise: hold, Drift: Drift,
+		Staleness: staleness(cfg), ReadLease: cfg.CancelIn / 4}
 	nodes := float64(ecf.Nodes)
 	s := &State{
-		cfg: cfg, ecf: ecf, now: now,
+		cfg: cfg, ecf: ecf, now: now, born: now,
 		rnd:      rand.New(rand.NewPCG(cfg.Boot, uint64(len(cfg.Self)))),
 		calls:    map[uint64]func(any){},
 		types:    map[string]*model.MachineType{},
@@ -80,6 +85,7 @@
 	}
 	s.lead.round = sched.NewRound(sched.Config{SkipLimit: cfg.SkipLimit})
 	s.users.init(cfg.Boot)
+	s.cancels.unshared = map[string]uint64{}
 	// Controllers that start together must not all run at the same instant.
 	s.lead.nextBid = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
 	return s
@@ -130,6 +136,7 @@
 	s.pumpWatch()
 	s.pumpTypes()
 	s.expireAsks()
+	s.tellWaiting()
 	s.hello()
 	s.campaign()
 	if !s.Leading() {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -297,6 +297,8 @@
 	MsgRelease    = "release"    // gives a term up
 	MsgNudge      = "nudge"      // a change that the sender has made durable
 	MsgCounts     = "counts"     // running tasks per job, for display
+	MsgCancelled  = "cancelled"  // cancellations that the receiver may not know of
+	MsgKnown      = "known"      // a leader's acknowledgement of them
 	MsgUnanswered = "unanswered" // machines that a leader had not answered lately when its term ended
 	MsgAsk        = "ask"        // a user's request, from a node without the store
 	MsgAnswer     = "answer"
@@ -323,6 +325,10 @@
 	Wall     int64          `msgpack:"wl,omitempty"`
 	Status   int            `msgpack:"code,omitempty"`
 	Retry    int            `msgpack:"ra,omitempty"`
+	Rev      uint64         `msgpack:"rv,omitempty"` // a leader's: it knows of all changes up to here
+	Read     bool           `msgpack:"rl,omitempty"` // a read lease is asked for, or granted
+	Loaded   bool           `msgpack:"ld,omitempty"` // its grantor has read all since its start
+	Age      time.Duration  `msgpack:"ag,omitempty"` // of the grantor's process
 }
 
 // Log is a line for the log.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -139,7 +139,7 @@
 			case conflict:
 				// Known by now, through another node or an earlier try.
 				if s.jobs[spec.ID] != nil {
-					s.answer(o, 200, s.status(s.jobs[spec.ID]), 0)
+					s.tell(o, s.jobs[spec.ID])
 					return
 				}
 				s.later(o, "try again")
@@ -165,7 +165,7 @@
 		case !ok:
 			s.later(o, "the state service does not answer")
 		case j != nil:
-			s.answer(o, 200, s.status(j), 0)
+			s.tell(o, j)
 		default:
 			f()
 		}
@@ -210,7 +210,7 @@
 
 func (s *State) poll(o origin, id string) {
 	if j := s.jobs[id]; j != nil && j.final() {
-		s.answer(o, 200, s.status(j), 0) // final for ever: no need to look
+		s.tell(o, j) // final for ever: no need to look
 		return
 	}
 	if s.storeAge() > s.storeGap() && s.passOn(o, "poll", id, nil, 0) {
@@ -223,7 +223,7 @@
 
 func (s *State) withdraw(o origin, id string) {
 	if j := s.jobs[id]; j != nil && j.final() {
-		s.answer(o, 200, s.status(j), 0)
+		s.tell(o, j)
 		return
 	}
 	if s.storeAge() > s.storeGap() && s.passOn(o, "withdraw", id, nil, 0) {
@@ -264,9 +264,9 @@
 			switch {
 			case r == written:
 				s.nudge(key, value)
-				s.answer(o, 200, s.status(j), 0)
+				s.tell(o, j)
 			case r == conflict && j != nil && j.final():
-				s.answer(o, 200, s.status(j), 0)
+				s.tell(o, j)
 			default:
 				if !s.passOn(o, "withdraw", id, nil, 0) {
 					s.later(o, "the state service does not answer")
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -20,6 +20,14 @@
 // term counts on none of its earlier promises: no other leader can be acting,
 // and no other candidate that counts on them can win that version any more
 // once this one has.
+//
+// A leader that the state service refuses may be carried on by promises while
+// another controller confirms cancellations that it never hears of. Its view
+// may therefore be no older than Config.Staleness, counted for each of the
+// others from the last read of the state service, or from the end of a read
+// lease: while that is in force, its grantor confirms no cancellation that the
+// leader hasn't acknowledged (as the holders of quorum leases are told before
+// a write is). Beyond that the leader may not act, whoever supports it.
 package election
 
 import "time"
@@ -31,6 +39,9 @@
 	KeyLife time.Duration // life of the leader's lease in the state service
 	Promise time.Duration // how long a supporter binds itself
 	Drift   float64       // relative drift between two steady clocks
+	// Staleness is how old a leader's view of the cancellations may be (0: any
+	// age), ReadLease how long a grantor binds itself.
+	Staleness, ReadLease time.Duration
 }
 
 // Voter is the supporting side: what this controller has promised.
@@ -44,17 +55,34 @@
 	// The candidate that may be supported while asleep.
 	vouchedNode string
 	vouchedTerm uint64
+	// Read leases given: to the leader of a term, and for how long; and until
+	// when one that an earlier life gave may bind.
+	readTerm           uint64
+	readUntil, oldRead time.Duration
 }
 
 // NewVoter starts a voter at now. Its first promise waits for the longest one
 // that the process before it may have given and forgotten.
 func NewVoter(cfg Config, now time.Duration) *Voter {
-	return &Voter{cfg: cfg, wakeAt: now + cfg.stretch(cfg.Promise)}
+	return &Voter{cfg: cfg, wakeAt: now + cfg.stretch(cfg.Promise), oldRead: now + cfg.stretch(cfg.ReadLease)}
 }
 
 // Wake ends the sleep after a start early: every other controller has said,
 // since this process began, that it counts on no promise of an earlier life.
-func (v *Voter) Wake() { v.wakeAt = 0 }
+func (v *Voter) Wake() { v.wakeAt, v.oldRead = 0, 0 }
+
+// GrantRead gives the leader of term a read lease.
+func (v *Voter) GrantRead(now time.Duration, term uint64) {
+	v.readTerm = max(v.readTerm, term)
+	v.readUntil = max(v.readUntil, now+v.cfg.stretch(v.cfg.ReadLease))
+}
+
+// ReadLeased says whether a read lease binds this voter, which knows that term
+// has been won: the leaders of terms before don't act any more. One that a
+// process forgot when it ended counts as given to whoever leads.
+func (v *Voter) ReadLeased(now time.Duration, term uint64) bool {
+	return now < v.oldRead || now < v.readUntil && v.readTerm >= term
+}
 
 // Vouch lets the voter support node's candidacy for term while it sleeps. The
 // caller has made sure of what the package comment demands.
@@ -110,6 +138,9 @@
 	// majority is when the last majority of them may end: asked for with every
 	// event, and worked out only when a promise comes.
 	majority time.Duration
+	read     time.Duration            // sending of the last complete read of the state service
+	leases   map[string]time.Duration // by grantor: when its read lease may end
+	current  time.Duration            // the view is recent enough until here
 	elected  bool
 	ended    bool
 }
@@ -117,9 +148,44 @@
 // NewTenure starts a candidacy for term at now; stamp is the version of the
 // term before.
 func NewTenure(cfg Config, now time.Duration, term, stamp uint64) *Tenure {
-	return &Tenure{cfg: cfg, Term: term, Stamp: stamp, began: now, support: map[string]time.Duration{}}
+	return &Tenure{cfg: cfg, Term: term, Stamp: stamp, began: now, support: map[string]time.Duration{}, leases: map[string]time.Duration{}}
 }
 
+// Read notes a complete read of the state service that was sent at sent.
+func (t *Tenure) Read(sent time.Duration) {
+	t.read = max(t.read, sent)
+	t.refresh()
+}
+
+// LeasedRead notes a read lease that node has granted, asked for at sent. Born
+// is the latest time at which the grantor's process can have begun, Loaded says
+// that the grantor has told of all that was confirmed before that too: what its
+// earlier life confirmed after its own last read lease, nobody else can tell.
+func (t *Tenure) LeasedRead(node string, sent, born time.Duration, loaded bool) {
+	if !loaded && born > max(t.read, t.leases[node]) {
+		return
+	}
+	t.leases[node] = max(t.leases[node], sent+t.shrink(t.cfg.ReadLease))
+	t.refresh()
+}
+
+func (t *Tenure) refresh() {
+	oldest := t.read
+	if len(t.leases) == t.cfg.Nodes-1 && t.cfg.Nodes > 1 {
+		first := true
+		for _, until := range t.leases {
+			if first || until < oldest {
+				oldest, first = until, false
+			}
+		}
+		oldest = max(oldest, t.read)
+	}
+	t.current = oldest + t.shrink(t.cfg.Staleness)
+}
+
+// Current is until when the view is recent enough.
+func (t *Tenure) Current() time.Duration { return t.current }
+
 // Promised notes a supporter's promise; sent is when it was asked for.
 func (t *Tenure) Promised(now time.Duration, node string, sent time.Duration) {
 	// A promise that was asked for by an earlier candidacy doesn't count: its
@@ -142,6 +208,8 @@
 		return false
 	}
 	t.elected, t.hasKey, t.keySent = true, true, sent
+	// It doesn't act before it has read all that was there when it was elected.
+	t.Read(now)
 	return true
 }
 
@@ -198,7 +266,11 @@
 	if !t.elected || t.ended {
 		return 0
 	}
-	return max(t.KeyUntil(), t.majority)
+	until := max(t.KeyUntil(), t.majority)
+	if t.cfg.Staleness > 0 && t.cfg.Nodes > 1 {
+		until = min(until, t.current)
+	}
+	return until
 }
 
 // lapsed ends an elected tenure whose entitlement has run out.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -63,7 +63,10 @@
 }
 
 // Cancel has the user cancel a job.
-func (u *Users) Cancel(id string) {
+func (u *Users) Cancel(id string) { u.CancelAt(id, nil) }
+
+// CancelAt has the user cancel a job by way of node first, then of any.
+func (u *Users) CancelAt(id string, node *Node) {
 	t := u.w.Check.jobs[id]
 	t.asked = true
 	var try func()
@@ -74,7 +77,9 @@
 		asked := u.w.Now
 		withdraw := func(req uint64) core.Event { return core.Withdraw{Req: req, ID: id} }
 		u.w.repeat(func() { u.ask(withdraw, 5*time.Second, func(core.Reply) {}) })
-		u.ask(withdraw, 5*time.Second, func(r core.Reply) {
+		first := node
+		node = nil
+		u.askAt(first, withdraw, 5*time.Second, func(r core.Reply) {
 			if r.Status == 404 && !t.accepted {
 				return
 			}
@@ -96,10 +101,17 @@
 	})
 }
 
-// ask sends a request to some node that is up, with a time limit.
+// ask sends a request to some node, with a time limit.
 func (u *Users) ask(make_ func(uint64) core.Event, limit time.Duration, f func(core.Reply)) {
+	u.askAt(nil, make_, limit, f)
+}
+
+// askAt sends it to n, or to some node if n is nil.
+func (u *Users) askAt(n *Node, make_ func(uint64) core.Event, limit time.Duration, f func(core.Reply)) {
 	w := u.w
-	n := w.Nodes[w.Rnd.IntN(len(w.Nodes))]
+	if n == nil {
+		n = w.Nodes[w.Rnd.IntN(len(w.Nodes))]
+	}
 	over := false
 	end := func(r core.Reply) {
 		if !over {
