--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -279,10 +281,16 @@
 	}
 }
 
-// cancelNow has users cancel n jobs that run, within a fifth of a second; with
-// hang, machines that run them hang that long.
+// cancelNow has users cancel n jobs that run, within a fifth of a second, those
+// that would run on for long first; with hang, machines that run them hang that
+// long.
 func (w *World) cancelNow(n int, hang time.Duration) {
-	for _, id := range sortedKeys(w.Check.jobs) {
+	ids := sortedKeys(w.Check.jobs)
+	w.Rnd.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(w.Check.jobs[b].runTime/(60*second), w.Check.jobs[a].runTime/(60*second))
+	})
+	for _, id := range ids {
 		t := w.Check.jobs[id]
 		if n == 0 || !t.accepted || t.asked || t.toldDone || len(t.on) == 0 {
 			continue
@@ -302,12 +310,12 @@
 // long submits jobs that run for most of the day, some of a team at its limit.
 func long(w *World, n int) {
 	for i := range n {
-		j := batch(fmt.Sprintf("req-%06d", i), 2+i%2)
+		j := batch(fmt.Sprintf("req-%06d", 600000+i), 2+i%2)
 		j.Class, j.Spot = "long", i%2 == 0
 		if i%4 == 0 {
 			j.Team = "tight"
 		}
-		w.At(time.Duration(2+i)*second, func() { w.Users.Submit(j, 100*second) })
+		w.At(time.Duration(2+5*i)*second, func() { w.Users.Submit(j, 80*second) })
 	}
 }
 
@@ -429,6 +437,7 @@
 					m.load(w)
 				} else {
 					load(w, 130*second)
+					long(w, 20)
 				}
 				odd(w, 150*second)
 				watchLeaders(w)
