--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -387,3 +387,16 @@
 		}
 	}
 }
+
+// TestBackoffEnds: whatever fails, nobody waits longer than a lease for it: a
+// job whose tasks failed together on one machine waited for minutes beside
+// others with room.
+func TestBackoffEnds(t *testing.T) {
+	s := alone()
+	s.cfg.ReportEvery, s.cfg.Lease = 6*time.Second, 31*time.Second
+	for n, want := range map[int]time.Duration{1: 6, 2: 12, 3: 24, 4: 31, 40: 31} {
+		if got := s.backoff(n); got != want*time.Second {
+			t.Errorf("after %d failures: %v, want %v s", n, got, int(want))
+		}
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -365,8 +365,11 @@
 	}
 }
 
+// backoff is how long to wait after n failures in a row: a lease at most. Some
+// tasks of an array that failed together on one bad machine kept the whole job
+// from all others for minutes where reports are rare.
 func (s *State) backoff(n int) time.Duration {
-	return s.cfg.ReportEvery << min(n-1, 5)
+	return min(s.cfg.ReportEvery<<min(n-1, 5), s.cfg.Lease)
 }
 
 // orders says what m is to do, in answer to its report r. All of it can be
