--- a/internal/standin/gap_test.go
+++ b/internal/standin/gap_test.go
@@ -62,6 +62,27 @@
 		w.Cut(leader.Name, b.Name, "drop")
 		w.After(2*second, func() { w.Heal("state", a.Name); w.Heal(leader.Name, a.Name) })
 	}},
+	{"the first word to the leader is lost, and it gets a read lease", func(w *World, leader, a, b *Node) {
+		w.link(a.Name, leader.Name).mode = "drop"
+		w.link(b.Name, leader.Name).mode = "drop"
+		w.After(1500*time.Millisecond, func() { w.Heal(a.Name, leader.Name); w.Heal(b.Name, leader.Name) })
+	}},
+	{"the state service is back for one alone, which the leader can't hear", func(w *World, leader, a, b *Node) {
+		w.After(14*second, func() {
+			w.Cut(leader.Name, a.Name, "drop")
+			w.Cut(b.Name, a.Name, "drop")
+			w.Store.Refuse[b.Name], w.Store.Refuse[leader.Name] = true, true
+			w.Store.Recover()
+			w.Users.CancelAt("req-000011", a)
+			w.After(4*second, func() { w.Store.Out = true })
+		})
+		w.After(50*second, func() {
+			w.Heal(leader.Name, a.Name)
+			w.Heal(b.Name, a.Name)
+			delete(w.Store.Refuse, b.Name)
+			delete(w.Store.Refuse, leader.Name)
+		})
+	}},
 	{"the state service is back for the others first", func(w *World, leader, a, b *Node) {
 		w.Cut(leader.Name, a.Name, "drop")
 		w.After(20*second, func() {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -37,6 +37,13 @@
 		w.At(60*second, func() { w.crashLeader(time.Second) })
 	}},
 	{name: "ten changes of the leader in two minutes, also inside an outage", faults: func(w *World) {
+		for i := range 4 {
+			w.At(time.Duration(33+30*i)*second, func() {
+				if l := w.Leader(); l != nil {
+					l.Freeze(time.Duration(2+w.Rnd.IntN(9)) * second)
+				}
+			})
+		}
 		for i := range 10 {
 			w.At(time.Duration(30+12*i)*second, func() { w.crashLeader(time.Duration(200+w.Rnd.IntN(4000)) * time.Millisecond) })
 		}
@@ -127,6 +134,8 @@
 		w.At(150*second, func() { w.ForNext, w.Copies = 0, 0 })
 	}},
 	{name: "commands and their answers are held up for seconds, and the machine goes on", faults: func(w *World) {
+		w.Repeats, w.Copies = 0.3, 0.1
+		w.At(160*second, func() { w.Repeats, w.Copies = 0, 0 })
 		for i := range 14 {
 			w.At(time.Duration(25+8*i)*second, func() {
 				if keys := sortedKeys(w.Workers); len(keys) > 0 {
@@ -145,21 +154,38 @@
 		w.At(70*second, func() { w.crashLeader(400 * time.Millisecond) })
 	}},
 	{name: "a full team, cancelled jobs on machines out of reach, and the leader changes", limit: 8, load: func(w *World) { full(w, 120*second) }, faults: func(w *World) {
-		for i := range 3 {
-			at := time.Duration(35+35*i) * second
+		for i := range 4 {
+			at := time.Duration(30+25*i) * second
 			w.At(at, func() {
 				for k, h := range sortedKeys(w.Workers) {
-					switch k % 3 {
-					case 0:
+					switch {
+					case i%2 == 1: // they hear the new leader, and then for a while nothing more
+					case k%3 == 0:
 						w.cutOff(w.Workers[h], 14*second, "hold")
-					case 1:
+					case k%3 == 1:
 						w.Workers[h].Hang(7 * second)
 					}
 				}
 			})
-			w.At(at+500*time.Millisecond, func() { w.cancelNow(4, 0) })
-			w.At(at+time.Duration(1+2*i)*second, func() { w.crashLeader(time.Duration(300+2000*i) * time.Millisecond) })
-			w.At(at+6*second, func() { w.cancelNow(3, 0) })
+			if i%2 == 1 {
+				w.onElection(func() {
+					for _, h := range sortedKeys(w.Workers) {
+						wk := w.Workers[h]
+						w.After(time.Duration(w.Rnd.IntN(3000))*time.Millisecond, func() { wk.Deaf = true })
+						w.After(8*second, func() { wk.Deaf = false })
+					}
+				})
+			}
+			w.At(at+500*time.Millisecond, func() { w.cancelNow(2, 0) })
+			w.At(at+time.Second, func() {
+				w.crashLeader(time.Duration(300+2000*i) * time.Millisecond)
+				if i == 3 { // none is left that knows what the cancelled jobs were
+					for _, n := range w.Nodes {
+						n.CrashFor(400 * time.Millisecond)
+					}
+				}
+			})
+			w.At(at+6*second, func() { w.cancelNow(1, 0) })
 		}
 	}},
 	{name: "a leader cut from state service and peers, jobs are cancelled through the new one", load: func(w *World) { long(w, 24) }, faults: func(w *World) {
@@ -234,8 +260,8 @@
 			at := time.Duration(20+25*i) * second
 			w.At(at, func() {
 				w.Store.Slow, w.Store.Unanswered, w.Store.AtOnce = 800*time.Millisecond, 0.3, i%2 == 0
-				for _, h := range sortedKeys(w.Cloud.machines)[:min(3, len(w.Cloud.machines))] {
-					w.Cloud.Take(h) // others are rented in their place
+				for _, h := range sortedKeys(w.Workers)[:min(3, len(w.Workers))] {
+					w.Cloud.Take(w.Workers[h].info.Host) // others are rented in their place
 				}
 				for k := range 6 {
 					j := batch(fmt.Sprintf("req-%06d", 700000+10*i+k), 3)
@@ -260,6 +286,20 @@
 	}
 }
 
+// onElection runs f once, as the next leader begins.
+func (w *World) onElection(f func()) {
+	before := w.led
+	var look func()
+	look = func() {
+		if w.led == before {
+			w.After(10*time.Millisecond, look)
+			return
+		}
+		f()
+	}
+	look()
+}
+
 // refuseLeader has the state service refuse whoever leads.
 func (w *World) refuseLeader(d time.Duration) {
 	if l := w.Leader(); l != nil {
@@ -364,10 +404,10 @@
 
 // full keeps a team at its limit.
 func full(w *World, until time.Duration) {
-	for i, at := 0, 2*second; at < until; i, at = i+1, at+3*second {
+	for i, at := 0, 2*second; at < until; i, at = i+1, at+7*second {
 		j := batch(fmt.Sprintf("req-%06d", i), 1+i%4)
-		j.Class, j.Spot, j.Team = "full", true, "tight"
-		w.At(at, func() { w.Users.Submit(j, 9*second) })
+		j.Class, j.Spot, j.Team, j.Estimate = "full", true, "tight", 20
+		w.At(at, func() { w.Users.Submit(j, 20*second) })
 	}
 }
 
