Keep counting an overdue cancellation across a change of the leader

Cause: a new leader gave machines on which a cancelled task was still to be seen a whole three fifths of cancel_s anew; elected late, it gave them up after cancel_s. TestOverdueCancellations fails on the former condition (elected at 26 s, 30 s).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -400,3 +400,33 @@
 		}
 	}
 }
+
+// TestOverdueCancellations: a machine that still shows a withdrawn job's task is
+// given up after three fifths of the time allowed, also by a leader elected in
+// between, which first tries to stop it.
+func TestOverdueCancellations(t *testing.T) {
+	for _, c := range []struct {
+		seen, elected, now float64
+		want               bool
+	}{
+		{10, 1, 27, false}, // 30 s are allowed
+		{10, 1, 29, true},
+		{10, 26, 27, false}, // just elected: the stop is under way
+		{10, 26, 30, true},
+		{26, 26, 30, false}, // this life has just read of it
+	} {
+		s := alone()
+		at := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+		s.now, s.electedAt = at(c.now), at(c.elected)
+		j := &job{Job: model.Job{ID: "req-000001"}, phase: model.PhaseAborted, overAt: at(c.seen)}
+		s.jobs[j.ID] = j
+		bound, odd := s.machine("n-1"), s.machine("n-2")
+		bound.tasks["req-000001/0"] = &task{job: j}
+		odd.strangers["req-000001/1"] = model.TaskReport{Task: "req-000001/1"}
+		for _, m := range []*machine{bound, odd} {
+			if got := s.overdue(m); got != c.want {
+				t.Errorf("%s, seen at %v, elected at %v, now %v: given up: %v, want %v", m.host, c.seen, c.elected, c.now, got, c.want)
+			}
+		}
+	}
+}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -66,11 +66,14 @@
 
 // overdue gives up machines on which tasks of a withdrawn job are still to be
 // seen when most of the time allowed for that has passed: whatever holds the
-// stop up, returning the machine ends them.
+// stop up, returning the machine ends them. A new leader tries to stop them
+// first, but doesn't start counting again: with a leader that changed late they
+// were given up long after cancel_s.
 func (s *State) overdue(m *machine) bool {
 	limit := s.cfg.CancelIn * 3 / 5
+	tried := min(limit, 2*s.cfg.ReportEvery)
 	late := func(j *job) bool {
-		return j != nil && j.phase == model.PhaseAborted && s.now-max(j.overAt, s.electedAt) > limit
+		return j != nil && j.phase == model.PhaseAborted && s.now-j.overAt > limit && s.now-s.electedAt > tried
 	}
 	for _, t := range m.tasks {
 		if late(t.job) {
