--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -211,6 +211,7 @@
 	if left <= 0 || lim.CPUs > 0 && used+j.CPUs > lim.CPUs {
 		return false
 	}
+	together := map[string]int{} // of a gang: tasks for which a zone has room
 	for _, e := range sortedKeys(c.w.Workers) {
 		wk := c.w.Workers[e]
 		here := zones[wk.info.Zone]
@@ -218,7 +219,15 @@
 			wk.info.Spot && !j.Spot || j.Spread && here >= j.ZoneCap() || j.OneZone && here == 0 && len(zones) > 0 {
 			continue
 		}
-		if wk.fits(t) {
+		zone := wk.info.Zone
+		if !j.OneZone {
+			zone = ""
+		}
+		need := 1
+		if j.Kind == model.Gang {
+			need = j.Tasks
+		}
+		if together[zone] += wk.fits(t); together[zone] >= need {
 			return true
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -323,7 +323,7 @@
 				continue // in use: the running attempt stays on the list
 			case t == nil:
 				n.state, n.cause = model.TaskExited, model.CauseUnknown
-			case !wk.fits(t):
+			case wk.fits(t) == 0:
 				n.state, n.cause = model.TaskExited, model.CauseNoRoom
 			case wk.images[t.spec.Image]:
 				n.end = wk.w.Now
@@ -357,7 +357,8 @@
 	wk.advance()
 }
 
-func (wk *Worker) fits(t *truth) bool {
+// fits is for how many tasks of a job the machine has room.
+func (wk *Worker) fits(t *truth) int {
 	cpus, mem := wk.typ.CPUs, wk.typ.MemoryGB
 	for name, r := range wk.tasks {
 		if r.state != model.TaskExited {
@@ -366,5 +367,5 @@
 			mem -= o.spec.MemoryGB
 		}
 	}
-	return t.spec.CPUs <= cpus+1e-6 && t.spec.MemoryGB <= mem+1e-6
+	return int(min((cpus+1e-6)/t.spec.CPUs, (mem+1e-6)/t.spec.MemoryGB))
 }
