--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -22,6 +22,16 @@
 	}, 0)
 }
 
+// newTenure makes s, which has no peers, the leader of term 4 until further notice.
+func newTenure(s *State) *election.Tenure {
+	s.term, s.termStamp, s.electedAt = 4, 4, 1
+	t := election.NewTenure(s.ecf, 0, 4, 0)
+	t.Promised(0, "n0", 0)
+	t.Elected(0, 0)
+	t.Renewed(0, time.Hour)
+	return t
+}
+
 func storeCall(effects []Effect, op StoreOp) (StoreCall, bool) {
 	for _, e := range effects {
 		if c, ok := e.(StoreCall); ok && c.Op == op {
--- /dev/null
+++ b/internal/core/forms_test.go
@@ -0,0 +1,273 @@
+package core
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mulleinfall/internal/model"
+)
+
+// sample is a message or stored value as the version in production made it:
+// for messages the fields and the bytes, for values the key and the JSON.
+type sample struct{ kind, name, fields, bytes string }
+
+func production(t *testing.T) []sample {
+	t.Helper()
+	text, err := os.ReadFile("testdata/production.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []sample
+	for _, line := range strings.Split(string(text), "\n") {
+		switch {
+		case strings.HasPrefix(line, "message "), strings.HasPrefix(line, "value "):
+			kind, name, _ := strings.Cut(line, " ")
+			list = append(list, sample{kind: kind, name: name})
+		case strings.HasPrefix(line, "  ") && list[len(list)-1].fields == "":
+			list[len(list)-1].fields = strings.TrimSpace(line)
+		case strings.HasPrefix(line, "  "):
+			list[len(list)-1].bytes = strings.TrimSpace(line)
+		}
+	}
+	return list
+}
+
+// TestReadsProductionMessages: what the version in production says to another
+// controller is understood as it was meant.
+func TestReadsProductionMessages(t *testing.T) {
+	read := 0
+	for _, x := range production(t) {
+		if x.kind != "message" {
+			continue
+		}
+		read++
+		b, err := hex.DecodeString(x.bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var m PeerMsg
+		if err := msgpack.Unmarshal(b, &m); err != nil {
+			t.Errorf("%s: %v", x.name, err)
+			continue
+		}
+		var want PeerMsg
+		if err := json.Unmarshal([]byte(x.fields), &want); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(m, want) {
+			t.Errorf("%s: read as\n%+v, was\n%+v", x.name, m, want)
+		}
+	}
+	if read < 16 {
+		t.Errorf("%d kinds of messages, want all 16", read)
+	}
+}
+
+// TestSaysWhatProductionReads: a message of the present version has, under the
+// same names and as the same kinds of values, what the one in production put into
+// it, and nothing else but the number of the forms, which that ignores.
+func TestSaysWhatProductionReads(t *testing.T) {
+	for _, x := range production(t) {
+		if x.kind != "message" {
+			continue
+		}
+		var m PeerMsg
+		if err := json.Unmarshal([]byte(x.fields), &m); err != nil {
+			t.Fatal(err)
+		}
+		m.Forms = NewestForms
+		b, err := msgpack.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var now, then map[string]any
+		old, _ := hex.DecodeString(x.bytes)
+		if msgpack.Unmarshal(b, &now) != nil || msgpack.Unmarshal(old, &then) != nil {
+			t.Fatalf("%s: not a map", x.name)
+		}
+		delete(now, "fm")
+		if !reflect.DeepEqual(now, then) {
+			t.Errorf("%s: now\n%v, then\n%v", x.name, now, then)
+		}
+	}
+}
+
+// TestReadsProductionValues: a controller that starts on what the version in
+// production has stored knows its jobs, progress, machines, types and term.
+func TestReadsProductionValues(t *testing.T) {
+	s := alone()
+	stamp := uint64(10)
+	for _, x := range production(t) {
+		if x.kind == "value" {
+			stamp++
+			s.apply(Item{Key: x.name, Value: json.RawMessage(x.fields), Stamp: stamp})
+		}
+	}
+	j := s.jobs["req-000105"]
+	if j == nil || j.Class != "nightly" || j.Tasks != 1 || j.CPUs != 1 || j.Estimate != 9.5 || j.phase != model.PhaseDone {
+		t.Errorf("req-000105 is %+v", j)
+	}
+	if j := s.jobs["req-000009"]; j == nil || j.phase != model.PhaseAborted {
+		t.Errorf("req-000009 is %+v, was cancelled", j)
+	}
+	if s.term != 3 || s.leaderNode != "n0" || s.leaderGrant != 3 || len(s.typeList) != 1 || s.types["small"].CacheGB != 20 {
+		t.Errorf("term %d, leader %s by lease %d, %d types", s.term, s.leaderNode, s.leaderGrant, len(s.typeList))
+	}
+	for _, m := range s.machines {
+		if !m.rostered || m.endpoint != "w"+m.host || m.typeName != "small" || m.page != 1 {
+			t.Errorf("machine %s: %+v", m.host, m)
+		}
+	}
+	if len(s.machines) < 2 {
+		t.Errorf("%d machines on the roster", len(s.machines))
+	}
+	// Progress, for a job that goes on, and a machine's own key as versions
+	// before the pages wrote it.
+	s.apply(Item{Key: dirJobs + "req-000010", Value: raw(jobValue{Spec: &model.Job{ID: "req-000010", Tasks: 13}}), Stamp: 5})
+	s = alone()
+	s.apply(Item{Key: dirJobs + "req-000010", Value: raw(jobValue{Spec: &model.Job{ID: "req-000010", Tasks: 13}}), Stamp: 5})
+	s.apply(Item{Key: dirProgress + "req-000010/0", Value: json.RawMessage(`{"b":"/wc="}`), Stamp: 6})
+	s.apply(Item{Key: dirMachine + "n-7", Value: json.RawMessage(`{"endpoint":"e","type":"small","zone":"a","standing":true}`), Stamp: 7})
+	if j := s.jobs["req-000010"]; j.doneCount != 11 || !j.durable(10) || j.durable(11) {
+		t.Errorf("%d of 11 finished tasks read", j.doneCount)
+	}
+	if m := s.machines["n-7"]; m == nil || !m.rostered || !m.standing {
+		t.Errorf("a machine's own key: %+v", m)
+	}
+}
+
+// TestBitmapsInParts: where values are small, a large job's finished tasks are
+// kept in parts once all versions read them; before, the first part alone is
+// written, which is the former form, and never over a larger one.
+func TestBitmapsInParts(t *testing.T) {
+	const tasks = 30000
+	leader := func(forms int) (*State, *job) {
+		s := alone()
+		s.cfg.ValueBytes, s.forms = 2048, forms
+		s.loaded, s.hasTouch, s.ready = true, true, true
+		s.tenure = newTenure(s)
+		s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Tasks: tasks, Kind: model.Batch}}), Stamp: 5})
+		return s, s.jobs["req-000001"]
+	}
+	write := func(s *State, j *job) map[string][]byte {
+		s.writeChunk(j, 0, j.chunk(0))
+		out := map[string][]byte{}
+		for _, w := range s.queue {
+			out[w.change.Key] = w.change.Value
+		}
+		return out
+	}
+	for _, c := range []struct{ forms, parts int }{{formsFirst, 1}, {formsGangs, 3}} {
+		s, j := leader(c.forms)
+		for i := range tasks {
+			j.done(i)
+		}
+		out := write(s, j)
+		if len(out) != c.parts {
+			t.Errorf("forms %d: %d values, want %d", c.forms, len(out), c.parts)
+		}
+		again, k := leader(c.forms)
+		stamp := uint64(6)
+		for _, key := range slices.Sorted(maps.Keys(out)) {
+			if len(out[key]) > 2048 {
+				t.Errorf("forms %d: %s has %d bytes", c.forms, key, len(out[key]))
+			}
+			stamp++
+			again.apply(Item{Key: key, Value: out[key], Stamp: stamp})
+		}
+		if want := tasks; c.forms == formsGangs && k.doneCount != want || c.forms == formsFirst && (k.doneCount < 10000 || k.doneCount == want) {
+			t.Errorf("forms %d: %d of %d finished tasks read back", c.forms, k.doneCount, tasks)
+		}
+	}
+	// A larger value of the former version stands until it can be kept in parts.
+	s, j := leader(formsFirst)
+	big := make([]byte, tasks/8)
+	for i := range big {
+		big[i] = 0xff
+	}
+	s.apply(Item{Key: dirProgress + "req-000001/0", Value: raw(map[string][]byte{"b": big}), Stamp: 6})
+	if j.doneCount != tasks/8*8 {
+		t.Fatalf("%d finished tasks read from the large value", j.doneCount)
+	}
+	if out := write(s, j); len(out) != 0 {
+		t.Errorf("%d values written over the larger one", len(out))
+	}
+}
+
+// TestPagesThinnedOut: a page of the roster that a former version left larger
+// than values may be now is spread over others, which are written before it.
+func TestPagesThinnedOut(t *testing.T) {
+	s := alone()
+	s.cfg.ValueBytes, s.cfg.TxnOps = 2048, 4
+	s.loaded, s.hasTouch = true, true
+	hosts := map[string]rosterValue{}
+	for i := range 40 {
+		hosts[model.TaskName("n", 100+i)] = rosterValue{Endpoint: "10.1.0.7:9000", Type: "biniou-quatre", Zone: "quimper-a", Standing: true}
+	}
+	s.apply(Item{Key: dirPage + "1", Value: raw(hosts), Stamp: 5})
+	s.tenure, s.ready = newTenure(s), true
+	s.takeOver()
+	s.page(1).dirty = true
+	at := map[string]int{} // machine: page, as stored
+	for host := range hosts {
+		at[host] = 1
+	}
+	for now := time.Second; now < 30*time.Second && len(s.pageHosts) < 6; now += time.Second {
+		s.now = now
+		s.writerAt = 0
+		s.keepRoster()
+		s.storeRate.SetBurst(1000)
+		s.writeRate.SetBurst(1000)
+		for s.pumpWriter(); ; s.pumpWriter() {
+			c, ok := storeCall(s.out, StoreTxn)
+			s.out = nil
+			if !ok {
+				break
+			}
+			if len(c.Then) > 4 {
+				t.Errorf("%d changes in a transaction", len(c.Then))
+			}
+			for _, ch := range c.Then {
+				if len(ch.Value) > 2048 {
+					t.Errorf("%s has %d bytes", ch.Key, len(ch.Value))
+				}
+				var v map[string]rosterValue
+				if json.Unmarshal(ch.Value, &v) != nil {
+					t.Fatalf("%s: %s", ch.Key, ch.Value)
+				}
+				if ch.Key == dirPage+"1" {
+					for host := range hosts {
+						if _, on := v[host]; !on && at[host] == 1 {
+							t.Errorf("%s is on no page", host)
+						}
+					}
+				}
+				for host := range v {
+					at[host] = int(ch.Key[len(ch.Key)-1] - '0')
+				}
+			}
+			s.done(c.Call, StoreDone{Call: c.Call, Status: 200, Rev: 100 + s.seq})
+		}
+	}
+	pages := map[int]int{}
+	for _, n := range at {
+		pages[n]++
+	}
+	if len(pages) < 4 || pages[1] == 40 {
+		t.Errorf("machines by page: %v", pages)
+	}
+	for host := range hosts {
+		if m := s.machines[host]; m == nil || !m.rostered || m.page != at[host] || m.pageStored != at[host] {
+			t.Errorf("%s: wanted and stored on page %d, kept as %+v", host, at[host], m)
+		}
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -24,6 +24,12 @@
 	// carried out 2 to 12 s later, after newer ones, or at once if AtOnce is set.
 	Unanswered float64
 	AtOnce     bool
+	// MaxValue and MaxOps bound values, in bytes, and the changes of a
+	// transaction, MaxWrites the changes a second; 0: they are not bounded. Refused
+	// counts what was beyond.
+	MaxValue, MaxOps, MaxWrites int
+	Refused, Refused429         int
+	wrote                       []time.Duration
 	// Slow is how much longer than usual answers may take.
 	Slow  time.Duration
 	waits []*watch
@@ -182,6 +188,9 @@
 		s.endLease(c.Lease)
 	case core.StoreTxn:
 		s.Txns++
+		if d.Status = s.beyond(c); d.Status != 200 {
+			return d
+		}
 		for _, ch := range c.Then {
 			if ch.Lease != 0 && s.leases[ch.Lease] == nil {
 				d.Status, d.Err = 400, "no such lease"
@@ -218,3 +227,30 @@
 	}
 	return d
 }
+
+// beyond is what a transaction gets that is beyond the limits: 400 or 429.
+func (s *Store) beyond(c core.StoreCall) int {
+	large := s.MaxOps > 0 && (len(c.Then) > s.MaxOps || len(c.Guards) > 4*s.MaxOps)
+	for _, ch := range c.Then {
+		large = large || s.MaxValue > 0 && len(ch.Value) > s.MaxValue
+	}
+	if large {
+		s.Refused++
+		return 400
+	}
+	if s.MaxWrites == 0 {
+		return 200
+	}
+	for len(s.wrote) > 0 && s.wrote[0] < s.w.Now-time.Second {
+		s.wrote = s.wrote[1:]
+	}
+	// Bursts of one second's worth are allowed on top.
+	if len(s.wrote)+len(c.Then) > 2*s.MaxWrites {
+		s.Refused429++
+		return 429
+	}
+	for range c.Then {
+		s.wrote = append(s.wrote, s.w.Now)
+	}
+	return 200
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,6 +30,9 @@
 	Capacity int
 	// Pace is how often a worker looks after its tasks; 0 means 20 ms.
 	Pace time.Duration
+	// Former is how a controller of the former version is set up, if Config isn't
+	// what that would make of the settings.
+	Former func(*core.Config)
 	// Tamper, if set, may change a node's effects: tests of the checker break
 	// the service with it on purpose.
 	Tamper func(w *World, n *Node, e core.Effect) core.Effect
@@ -64,6 +67,9 @@
 	kept    []model.Report
 	led     *Node
 
+	// Old are the controllers that run the former version when they start.
+	Old map[string]bool
+
 	links map[[2]string]*link
 	Trace []string // what happened, for people to read
 	Tell  bool     // keep the trace
@@ -117,7 +123,9 @@
 	w.Store = newStore(w)
 	w.Cloud = &Cloud{w: w, hires: map[string][]string{}, machines: map[string]*rented{}}
 	w.Users = &Users{w: w}
+	w.Old = map[string]bool{}
 	for i := 0; i < opt.Nodes; i++ {
+		w.Old[fmt.Sprintf("n%d", i)] = opt.Former != nil
 		n := &Node{w: w, Name: fmt.Sprintf("n%d", i), index: i}
 		w.Nodes = append(w.Nodes, n)
 	}
@@ -242,6 +250,10 @@
 			cfg.Peers = append(cfg.Peers, o.Name)
 		}
 	}
+	if n.w.Old[n.Name] {
+		cfg.Forms = 0
+		n.w.Opt.Former(&cfg)
+	}
 	n.Boots++
 	n.life++
 	n.skew = (n.w.Rnd.Float64() - 0.5) * core.Drift
