--- a/internal/standin/roll_test.go
+++ b/internal/standin/roll_test.go
@@ -121,12 +121,12 @@
 				}
 				return e
 			}
-			opt.Capacity = 12
+			opt.Capacity = 20
 			w := New(opt)
 			w.Users.Close = true
 			w.Cloud.Slow = 0.2
 			for _, zone := range opt.Zones { // more than a page holds under the lowered limits
-				w.Cloud.Rent("small", zone, false, 8)
+				w.Cloud.Rent("small", zone, false, 16)
 			}
 			load(w, 130*second)
 			gangs(w, 130*second) // from the start: refused for now
