--- a/internal/standin/roll_test.go
+++ b/internal/standin/roll_test.go
@@ -161,6 +161,10 @@
 				w.At(54*second, func() { cutZone(w, "b", 12*second, "hold") })
 			}
 			w.At(100*second, func() { w.Store.MaxValue, w.Store.MaxOps, w.Store.MaxWrites = 2<<10, 4, 35 })
+			w.At(105*second, func() { // a page that a former leader wrote has to change
+				w.Cloud.Take("n-000003")
+				w.Cloud.Take("n-000020")
+			})
 			w.At(115*second, func() {
 				for _, n := range w.Nodes {
 					n.CrashFor(500 * time.Millisecond)
