Keep room free for one gang where renting would take too long

Cause: naipe's gangs should start within 5 and 20 s, and a machine boots in 20 to 40; nothing was kept for them.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,6 +120,7 @@
 	GiveUpBoots   *float64 `hcl:"give_up_boots,optional"`
 	Patience      *float64 `hcl:"patience,optional"`
 	SpareServices *int     `hcl:"spare_services,optional"`
+	SpareGangs    *int     `hcl:"spare_gangs,optional"`
 	MaxMachines   *int     `hcl:"max_machines,optional"`
 }
 
@@ -313,6 +314,12 @@
 			}
 			s.Tuning.SpareServices = *v
 		}
+		if v := f.SpareGangs; v != nil {
+			if *v < 0 {
+				return bad("fleet.spare_gangs", *v, "is below 0")
+			}
+			s.Tuning.SpareGangs = *v
+		}
 		if v := f.MaxMachines; v != nil {
 			if *v < 1 {
 				return bad("fleet.max_machines", *v, "is below 1")
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
 )
 
 // A gang's tasks find each other by their attempt, start when the last of them
@@ -111,3 +112,80 @@
 		}
 	}
 }
+
+// seenGang is the largest gang of a class lately.
+type seenGang struct {
+	job *job
+	at  time.Duration
+}
+
+// spareGang is the gang for which room is kept free, or nil: the largest of the
+// classes that come now and should start sooner than a machine could be rented.
+// Its zone doesn't matter yet.
+func (s *State) spareGang() *job {
+	if s.cfg.SpareGangs == 0 || s.cfg.GangWait == 0 {
+		return nil
+	}
+	if s.gangsSeen == nil {
+		s.gangsSeen = map[string]seenGang{}
+	}
+	for _, id := range ordered(s.active) {
+		j := s.active[id]
+		if j.Kind != model.Gang {
+			continue
+		}
+		if g, ok := s.gangsSeen[j.Class]; !ok || j.Tasks >= g.job.Tasks || s.now-g.at > beginWithin {
+			s.gangsSeen[j.Class] = seenGang{j, s.now}
+		}
+	}
+	var best *job
+	for _, class := range ordered(s.gangsSeen) {
+		g := s.gangsSeen[class]
+		start := s.cfg.Goals[class].Start
+		if s.now-g.at > beginWithin || start == 0 || start > s.soonestBoot()*3/2 {
+			continue
+		}
+		if best == nil || float64(g.job.Tasks)*g.job.CPUs > float64(best.Tasks)*best.CPUs {
+			best = g.job
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	spare := &job{Job: best.Job}
+	spare.Zone, spare.OneZone = "", true
+	return spare
+}
+
+// gangRoomOn is for how many tasks of the spare gang m has room.
+func (s *State) gangRoomOn(m *machine, g *job) int {
+	if !s.usable(m) || m.spot && !g.Spot || !g.AllowsType(m.typeName) {
+		return 0
+	}
+	need := sched.Resources{CPUs: g.CPUs, GPUs: g.GPUs, MemoryGB: g.MemoryGB}
+	n := 0
+	for free := m.view.Free; n < g.Tasks && free.Fits(need); free = free.Sub(need) {
+		n++
+	}
+	return n
+}
+
+// gangRoom is the zone that has most room for the spare gang, and for how many
+// of its tasks.
+func (s *State) gangRoom() (*job, string, int) {
+	g := s.spareGang()
+	if g == nil {
+		return nil, "", 0
+	}
+	room := map[string]int{}
+	for _, m := range s.order {
+		room[m.zone] += s.gangRoomOn(m, g)
+	}
+	zone, most := "", 0
+	for _, z := range ordered(room) {
+		if room[z] > most {
+			zone, most = z, room[z]
+		}
+	}
+	return g, zone, most
+}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -32,6 +32,7 @@
 	for _, m := range s.order {
 		room += s.serviceRoomOn(m, service)
 	}
+	gang, gangZone, gangRoom := s.gangRoom()
 	idle := 1 + len(s.order)/16 // of idle machines at a time
 	for _, m := range s.order {
 		if len(hosts) >= 100 {
@@ -59,9 +60,15 @@
 		case m.slow && len(m.tasks) == 0 && len(m.strangers) == 0:
 			hosts = append(hosts, m.host)
 		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
-			if own := s.serviceRoomOn(m, service); s.settled && idle > 0 && s.idleEnough(m) && (own == 0 || room-own >= s.cfg.SpareServices) {
+			own, ofGang := s.serviceRoomOn(m, service), 0
+			if gang != nil && m.zone == gangZone {
+				ofGang = s.gangRoomOn(m, gang)
+			}
+			if s.settled && idle > 0 && s.idleEnough(m) && (own == 0 || room-own >= s.cfg.SpareServices) &&
+				(ofGang == 0 || gangRoom-ofGang >= gang.Tasks*s.cfg.SpareGangs) {
 				idle--
 				room -= own
+				gangRoom -= ofGang
 				hosts = append(hosts, m.host)
 			}
 		default:
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -57,7 +57,8 @@
 	countsAt   time.Duration
 	slowAt     time.Duration
 	gangsAt    time.Duration
-	beatAt     time.Duration // last report answered with 200
+	gangsSeen  map[string]seenGang // by class
+	beatAt     time.Duration       // last report answered with 200
 	round      *sched.Round
 	paths      map[sched.Path]int
 	fleetState
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -43,6 +43,9 @@
 		spare.Spread, spare.Zone = false, ""
 		wants = append(wants, s.want(spare, s.cfg.SpareServices))
 	}
+	if g := s.spareGang(); g != nil {
+		wants = append(wants, s.want(g, g.Tasks*s.cfg.SpareGangs))
+	}
 	if len(wants) == 0 {
 		return
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -72,6 +72,7 @@
 	GiveUpBoot    float64       // give up a machine after this many boot times
 	Patience      float64       // part of a job's spare time that may pass before dearer machines are rented
 	SpareServices int           // service tasks for which room is kept free
+	SpareGangs    int           // gangs for which room is kept free
 	MaxMachines   int           // never rent beyond this; 0: whatever the cloud has
 }
 
@@ -84,6 +85,7 @@
 		GiveUpBoot:    4,
 		Patience:      0.25,
 		SpareServices: 2,
+		SpareGangs:    1,
 	}
 }
 
