--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -37,7 +37,7 @@
 // that takes a lost one's place must have its image before the first of the
 // others gives up.
 func (s *State) gangHasTime(j *job) bool {
-	return j.gang.since == 0 || s.now-j.gang.since < s.cfg.GangWait/2
+	return j.gang.since == 0 || s.now+s.longestFetch(j)+2*s.cfg.ReportEvery < j.gang.since+s.cfg.GangWait
 }
 
 // breakUp ends an attempt: all its tasks are stopped by one decision.
@@ -95,7 +95,7 @@
 
 // tendGangs ends attempts that can't be completed: one that lost a task after it
 // began, before this leader knew of it, or that found no place for a missing one
-// in half the time for which the others wait. Kept waiting, two such gangs held
+// in the time for which the others wait. Kept waiting, two such gangs held
 // each other's room half filled.
 func (s *State) tendGangs() {
 	if s.now < s.gangsAt {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -96,14 +96,19 @@
 	if goal == 0 || left <= 0 {
 		return false
 	}
+	return s.longestFetch(j) > left
+}
+
+// longestFetch is how long a fetch of j's image may take where nothing else is
+// fetched: up to half as long again as its rate says.
+func (s *State) longestFetch(j *job) time.Duration {
 	rate := 0.0
 	for i := range s.typeList {
 		if t := &s.typeList[i]; t.Fits(&j.Job) {
 			rate = max(rate, t.FetchRate)
 		}
 	}
-	// A fetch takes up to half as long again as its rate says.
-	return time.Duration(1.5*j.ImageGB/max(rate, 0.001)*float64(time.Second)) > left
+	return time.Duration(1.5 * j.ImageGB / max(rate, 0.001) * float64(time.Second))
 }
 
 // teamUse is what each team's tasks take now, without those being stopped.
@@ -170,8 +175,8 @@
 		soonest := sched.Never
 		for _, v := range env.views {
 			m := v.Ref.(*machine)
-			if !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
-				continue
+			if v.Held() || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+				continue // a gang that is to have it must not be kept off again
 			}
 			if w := v.Wait(s.now, j.entry); w < soonest {
 				best, soonest = m, w
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -80,6 +80,9 @@
 	class    int     // of its price by the CPU, in this round
 }
 
+// Held says whether m is kept free for a task at its skip limit or for a gang.
+func (m *Machine) Held() bool { return m.held }
+
 // Fetch is an image on its way to a machine.
 type Fetch struct {
 	Image string
@@ -212,24 +215,33 @@
 	cfg    Config
 	resume bool
 	last   string
-	// gangHeld: machines are kept free for a gang in this round.
-	gangHeld bool
+	// held are the machines kept free for a gang since the last round.
+	held, before map[*Machine]bool
 }
 
 // NewRound starts a dispatcher.
-func NewRound(cfg Config) *Round { return &Round{cfg: cfg} }
+func NewRound(cfg Config) *Round { return &Round{cfg: cfg, held: map[*Machine]bool{}} }
 
 // Run makes one round of decisions. Jobs must be in queue order (rank, then
 // arrival). It returns true if the round came to its end.
 func (r *Round) Run(now time.Duration, jobs []*Job, machines []*Machine, env Env) bool {
 	classify(machines)
-	r.gangHeld = false
 	for _, m := range machines {
-		m.held = false
-		if len(m.Local) > 0 {
+		m.held = r.resume && r.held[m]
+		switch {
+		case r.held[m]:
+			for _, q := range m.Local {
+				q.Job.Waiting++ // elsewhere it may be served sooner
+			}
+			m.Local = nil
+		case len(m.Local) > 0:
 			r.serveLocal(now, m, env)
 		}
 	}
+	if !r.resume {
+		// The gang's turn comes, if it still waits; it stays with its machines.
+		r.before, r.held = r.held, map[*Machine]bool{}
+	}
 	start := 0
 	if r.resume {
 		for i, j := range jobs {
@@ -379,31 +391,38 @@
 	return n
 }
 
-// heldPart is the part of the machines that may be kept free for gangs.
-const heldPart = 8
-
 // holdTogether keeps the machines free that should have room for the whole gang
-// soonest: refilled bit by bit by the tasks of arrays, they never all had room at
-// once. Only one gang at a time, and no more than a part of the machines.
+// soonest: refilled bit by bit by the tasks of arrays, and by their own local
+// queues, they never all had room at once. Only what one gang needs, and for one
+// gang at a time.
 func (r *Round) holdTogether(now time.Duration, j *Job, machines []*Machine, env Env) {
-	if r.gangHeld {
+	if len(r.held) > 0 {
 		return
 	}
 	var best []*Machine
 	soonest := Never
 	for _, zone := range zonesFor(j, machines) {
 		var list []*Machine
-		wait := map[*Machine]time.Duration{}
+		holds, wait := map[*Machine]int{}, map[*Machine]time.Duration{}
 		for _, m := range machines {
-			if m.held || zone != "" && m.Zone != zone || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
+			if m.held || zone != "" && m.Zone != zone || !env.Allowed(j, m) {
+				continue
+			}
+			empty := m.Capacity
+			empty.CPUs -= m.Stays // what stays on it makes no room
+			n := min(tasksIn(empty, j.Need), j.Waiting)
+			if n == 0 {
 				continue
 			}
-			if w := m.Wait(now, j); w < Never {
+			if w := m.freeIn(now, j.Need.times(n)); w < Never {
 				list = append(list, m)
-				wait[m] = w
+				holds[m], wait[m] = n, w
 			}
 		}
 		sort.SliceStable(list, func(a, b int) bool {
+			if x, y := r.before[list[a]], r.before[list[b]]; x != y {
+				return x
+			}
 			if wait[list[a]] != wait[list[b]] {
 				return wait[list[a]] < wait[list[b]]
 			}
@@ -411,23 +430,51 @@
 		})
 		room := 0
 		for i, m := range list {
-			if i >= 1+len(machines)/heldPart {
-				break
-			}
-			room += max(1, tasksIn(m.Free, j.Need))
-			if room >= j.Waiting {
-				if wait[m] < soonest {
-					best, soonest = list[:i+1], wait[m]
+			if room += holds[m]; room >= j.Waiting {
+				last := time.Duration(0)
+				for _, m := range list[:i+1] {
+					if !r.before[m] {
+						last = max(last, wait[m])
+					}
+				}
+				if last < soonest {
+					best, soonest = list[:i+1], last
 				}
 				break
 			}
 		}
 	}
 	for _, m := range best {
-		m.held, r.gangHeld = true, true
+		m.held = true
+		r.held[m] = true
 	}
 }
 
+// freeIn estimates how long until m has so much room, if nothing more comes to it.
+func (m *Machine) freeIn(now time.Duration, need Resources) time.Duration {
+	free, last := m.Free, now
+	for _, r := range m.Running {
+		if free.Fits(need) || r.End == Never {
+			break
+		}
+		end := r.End
+		if end < now {
+			end += 2 * (now - end) // overdue: as much again may be to come
+		}
+		last = max(last, end)
+		free = free.Add(r.Need)
+	}
+	if !free.Fits(need) {
+		return Never
+	}
+	return last - now
+}
+
+func (r Resources) times(n int) Resources {
+	k := float64(n)
+	return Resources{r.CPUs * k, r.GPUs * k, r.MemoryGB * k}
+}
+
 // serveLocal gives m's room to its local queue first, and returns what has
 // waited longer than estimated to the global queue.
 func (r *Round) serveLocal(now time.Duration, m *Machine, env Env) {
--- a/internal/standin/trace_test.go
+++ b/internal/standin/trace_test.go
@@ -10,6 +10,7 @@
 
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
 )
 
 var update = flag.Bool("update", false, "rewrite the kept traces")
@@ -27,6 +28,42 @@
 // host finds the machine that a task is on.
 func (w *World) host(task string) *Worker { return w.Check.jobOf(task).on[task] }
 
+// host1 finds the machine that shows a task in whatever state.
+func (w *World) machineOf(task string) *Worker {
+	for _, h := range sortedKeys(w.Workers) {
+		if w.Workers[h].tasks[task] != nil {
+			return w.Workers[h]
+		}
+	}
+	return nil
+}
+
+// when runs f as soon as cond holds, from a time on.
+func (w *World) when(from time.Duration, cond func() bool, f func()) {
+	var look func()
+	look = func() {
+		if cond() {
+			f()
+			return
+		}
+		w.After(10*time.Millisecond, look)
+	}
+	w.At(from, look)
+}
+
+// shows counts the tasks of a job that are in a state on some machine.
+func (w *World) shows(job, state string) int {
+	n := 0
+	for _, wk := range w.Workers {
+		for task, r := range wk.tasks {
+			if id, _, _ := model.SplitTask(task); id == job && r.state == state {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // The stories that are kept as traces for people to read.
 var stories = []struct {
 	name  string
@@ -34,6 +71,92 @@
 	until time.Duration
 	play  func(w *World)
 }{
+	{"gang-replacement", "A gang gathers, and a machine with a task that waits is taken. The others keep waiting; a replacement with the same attempt completes the gang.", 60 * second, func(w *World) {
+		w.Cloud.Rent("small", "b", false, 2) // one more than the gang needs
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 15*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskFetching) == 5 }, func() {
+			w.machineOf("req-000001/4").Hang(5 * second)
+		})
+		w.when(3*second, func() bool { return w.shows("req-000001", model.TaskGathering) >= 3 }, func() {
+			w.tell("machine %s is taken", w.machineOf("req-000001/0").info.Host)
+			w.Cloud.Take(w.machineOf("req-000001/0").info.Host)
+		})
+	}},
+	{"gang-loses-task", "A running gang loses a task with its machine. The others are stopped at once; the next attempt starts when all of them are gone, and goes on from the last checkpoint.", 70 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 15*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskRunning) == 5 }, func() {
+			w.After(7*second, func() {
+				w.tell("machine %s is taken", w.machineOf("req-000001/0").info.Host)
+				w.Cloud.Take(w.machineOf("req-000001/0").info.Host)
+			})
+		})
+	}},
+	{"gang-stopped-in-time", "One of a gang's machines is recalled. All tasks are told to stop by one decision, they save together, and the next attempt goes on from there.", 70 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 15*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskRunning) == 5 }, func() {
+			w.After(2*second, func() {
+				w.tell("machine %s is recalled", w.machineOf("req-000001/0").info.Host)
+				w.Cloud.Recall(w.machineOf("req-000001/0").info.Host, 9*second)
+			})
+		})
+	}},
+	{"gang-told-too-late", "The same, but one of the others is out of reach and can't be told in time: the save fails, and the gang falls back to its last checkpoint.", 90 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 15*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskRunning) == 5 }, func() {
+			w.After(2*second, func() {
+				gone := w.machineOf("req-000001/0")
+				w.tell("machine %s is recalled", gone.info.Host)
+				w.Cloud.Recall(gone.info.Host, 9*second)
+				for _, h := range sortedKeys(w.Workers) {
+					if wk := w.Workers[h]; wk != gone && len(wk.tasks) > 0 {
+						w.tell("machine %s can't be reached", wk.info.Host)
+						w.cutOff(wk, 12*second, "hold")
+						break
+					}
+				}
+			})
+		})
+	}},
+	{"gang-takeover", "The leader crashes while a gang gathers, again while it runs, and again as it is stopped. Each successor takes the attempt over as it is.", 100 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 25*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskFetching) == 5 }, func() {
+			w.machineOf("req-000001/4").Hang(6 * second)
+		})
+		w.when(3*second, func() bool { return w.shows("req-000001", model.TaskGathering) >= 3 }, func() { w.crashLeader(second) })
+		w.when(3*second, func() bool { return w.shows("req-000001", model.TaskRunning) == 5 }, func() {
+			w.After(3*second, func() { w.crashLeader(second) })
+			w.After(11*second, func() {
+				w.tell("machine %s is recalled", w.machineOf("req-000001/0").info.Host)
+				w.Cloud.Recall(w.machineOf("req-000001/0").info.Host, 9*second)
+			})
+			w.when(w.Now+11*second, func() bool { return w.shows("req-000001", model.TaskSaving) > 0 }, func() { w.crashLeader(second) })
+		})
+	}},
+	{"gang-old-zone", "A gang that must be in one zone runs in one that is cut off. The next attempt starts elsewhere, but not before the old zone's leases are over.", 90 * second, func(w *World) {
+		j := gangOf("req-000001", 5)
+		j.OneZone = true
+		w.At(second, func() { w.Users.Submit(j, 20*second) })
+		w.when(2*second, func() bool { return w.shows(j.ID, model.TaskRunning) == 5 }, func() {
+			w.After(2*second, func() {
+				zone := w.machineOf("req-000001/0").info.Zone
+				w.tell("zone %s is cut off", zone)
+				cutZone(w, zone, 35*second, "hold")
+			})
+		})
+	}},
+	{"gangs-compete", "Two gangs come at once, and there is room for one at a time. Neither holds a part of the other's room.", 80 * second, func(w *World) {
+		w.Opt.Capacity = 1
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 12*second) })
+		w.At(1100*time.Millisecond, func() { w.Users.Submit(gangOf("req-000002", 5), 12*second) })
+	}},
+	{"gang-limit", "A gang whose tasks together are beyond the team's limit is refused. One that is within it waits for the team's other work to end.", 80 * second, func(w *World) {
+		w.Opt.Config.Teams["tight"] = core.Team{Limit: sched.Resources{CPUs: 9}}
+		never, later, before := gangOf("req-000001", 5), gangOf("req-000002", 4), batch("req-000003", 4)
+		never.Team, later.Team, before.Team = "tight", "tight", "tight"
+		w.At(second, func() { w.Users.Submit(before, 10*second) })
+		w.At(5*second, func() { w.Users.Impossible(never) })
+		w.At(5*second, func() { w.Users.Submit(later, 10*second) })
+	}},
 	{"takeover", "The leader crashes. Its successor fences the machines, adopts what runs and restarts nothing.", 60 * second, func(w *World) {
 		w.At(second, func() { w.Users.Submit(service("req-000001", 2), 0) })
 		w.At(30*second, func() { w.Leader().Crash() })
