--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,7 @@
 
 	"mulleinfall/internal/election"
 	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
 )
 
 // alone makes the state of a controller without peers, for tests that play
@@ -440,3 +441,38 @@
 		}
 	}
 }
+
+// TestGangAttempts: tasks of different attempts never find each other, so a
+// leader that finds both stops them; and a machine on which a task of the
+// attempt has ended would take another start of it for a repeat.
+func TestGangAttempts(t *testing.T) {
+	s := alone()
+	s.loaded, s.hasTouch, s.ready = true, true, true
+	s.tenure, s.teams = newTenure(s), map[string]sched.Resources{}
+	s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Team: "t", Tasks: 3, Kind: model.Gang}}), Stamp: 5})
+	j := s.jobs["req-000001"]
+	shows := func(host string, index int, attempt uint64, state, cause string) *machine {
+		m := s.machine(host)
+		m.session = 1
+		s.piece(m, model.TaskReport{Task: model.TaskName(j.ID, index), Attempt: attempt, State: state, Cause: cause}, &model.Report{Session: 1})
+		return m
+	}
+	a := shows("n-1", 0, 7, model.TaskGathering, "")
+	b := shows("n-2", 1, 7, model.TaskGathering, "")
+	if j.gang.broken || !s.gangReady(j) || !s.allowed(j, a) || !s.allowed(j, b) {
+		t.Fatalf("two tasks of one attempt wait: %+v", j.gang)
+	}
+	shows("n-1", 0, 7, model.TaskExited, model.CauseNoRoom)
+	if s.allowed(j, a) || !s.allowed(j, b) || !s.gangReady(j) {
+		t.Errorf("after a refusal by n-1: allowed there %v, on n-2 %v, a replacement may go %v", s.allowed(j, a), s.allowed(j, b), s.gangReady(j))
+	}
+	shows("n-3", 2, 9, model.TaskGathering, "")
+	for i, x := range j.tasks {
+		if !x.killing {
+			t.Errorf("task %d of attempt %d goes on beside another attempt", i, x.attempt)
+		}
+	}
+	if s.gangReady(j) {
+		t.Error("tasks are placed while both attempts are being ended")
+	}
+}
--- a/internal/standin/trace_test.go
+++ b/internal/standin/trace_test.go
@@ -144,6 +144,18 @@
 			})
 		})
 	}},
+	{"gang-not-completed", "A gang that gathers loses a machine, and nothing else is to be had. While a replacement could still come in time the others wait; then they are stopped at once, and make room.", 90 * second, func(w *World) {
+		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 15*second) })
+		w.when(2*second, func() bool { return w.shows("req-000001", model.TaskFetching) == 5 }, func() {
+			w.machineOf("req-000001/4").Hang(5 * second)
+		})
+		w.when(3*second, func() bool { return w.shows("req-000001", model.TaskGathering) >= 3 }, func() {
+			w.tell("machine %s is taken, and the cloud has no other", w.machineOf("req-000001/0").info.Host)
+			w.Cloud.Take(w.machineOf("req-000001/0").info.Host)
+			w.Opt.Capacity = 0
+		})
+		w.At(56*second, func() { w.tell("the cloud has machines again"); w.Opt.Capacity = 4 })
+	}},
 	{"gangs-compete", "Two gangs come at once, and there is room for one at a time. Neither holds a part of the other's room.", 80 * second, func(w *World) {
 		w.Opt.Capacity = 1
 		w.At(second, func() { w.Users.Submit(gangOf("req-000001", 5), 12*second) })
