--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -149,6 +149,9 @@
 		}
 		j.entry.Waiting = n
 		j.entry.Steady = s.steady(j)
+		// By then machines that were rented for it would be there. Kept free from
+		// the start, they cost other gangs their starts in time.
+		j.entry.Overdue = j.Kind == model.Gang && s.age(j) > 2*s.soonestBoot()
 		j.entry.Rank = queueRank(j)
 		if s.unbegun(j) {
 			j.entry.Rank, j.entry.Waiting = -1, 1
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -45,6 +45,7 @@
 	Endless  bool          // a service: runs until cancelled
 	Gang     bool          // goes only when all its tasks fit now
 	OneZone  bool          // a gang all of whose tasks must be in one zone
+	Overdue  bool          // a gang for which machines are kept free
 	Steady   bool          // a task that has to begin anew would come too late
 	Waiting  int           // tasks in the global queue
 	Skips    int           // times that a later task went first
@@ -396,7 +397,7 @@
 // queues, they never all had room at once. Only what one gang needs, and for one
 // gang at a time.
 func (r *Round) holdTogether(now time.Duration, j *Job, machines []*Machine, env Env) {
-	if len(r.held) > 0 {
+	if !j.Overdue || len(r.held) > 0 {
 		return
 	}
 	var best []*Machine
