Let the room kept for gangs go two boot times after the last one

TestSpareRoomForGangs fails with the four minutes, and without any room kept (3 of 7 gangs wait for a boot).

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -134,7 +134,7 @@
 		if j.Kind != model.Gang {
 			continue
 		}
-		if g, ok := s.gangsSeen[j.Class]; !ok || j.Tasks >= g.job.Tasks || s.now-g.at > beginWithin {
+		if g, ok := s.gangsSeen[j.Class]; !ok || j.Tasks >= g.job.Tasks || s.now-g.at > s.spareTime() {
 			s.gangsSeen[j.Class] = seenGang{j, s.now}
 		}
 	}
@@ -142,7 +142,7 @@
 	for _, class := range ordered(s.gangsSeen) {
 		g := s.gangsSeen[class]
 		start := s.cfg.Goals[class].Start
-		if s.now-g.at > beginWithin || start == 0 || start > s.soonestBoot()*3/2 {
+		if s.now-g.at > s.spareTime() || start == 0 || start > s.soonestBoot()*3/2 {
 			continue
 		}
 		if best == nil || float64(g.job.Tasks)*g.job.CPUs > float64(best.Tasks)*best.CPUs {
@@ -157,6 +157,10 @@
 	return spare
 }
 
+// spareTime is for how long room is kept free after the last gang: machines that
+// then have nothing to do go back.
+func (s *State) spareTime() time.Duration { return 2 * s.soonestBoot() }
+
 // gangRoomOn is for how many tasks of the spare gang m has room.
 func (s *State) gangRoomOn(m *machine, g *job) int {
 	if !s.usable(m) || m.spot && !g.Spot || !g.AllowsType(m.typeName) {
--- a/internal/standin/gang_test.go
+++ b/internal/standin/gang_test.go
@@ -148,3 +148,31 @@
 	}
 	return n
 }
+
+// TestSpareRoomForGangs: while gangs come that should start sooner than a machine
+// boots, one finds its room free; when they stop coming the machines go back.
+func TestSpareRoomForGangs(t *testing.T) {
+	opt := Defaults(4)
+	opt.Config.Goals = map[string]core.Goal{"gang": {Start: 5 * second}}
+	w := New(opt)
+	for i := range 10 {
+		g := gangOf(fmt.Sprintf("req-%06d", i), 3)
+		w.At(time.Duration(2+15*i)*second, func() { w.Users.Submit(g, 20*second) })
+	}
+	w.Run(250 * second)
+	late := 0
+	for _, id := range sortedKeys(w.Check.jobs) {
+		if x := w.Check.jobs[id]; x.at > 40*second && x.began-x.at > 5*second {
+			late++
+		}
+	}
+	if late > 1 {
+		t.Errorf("%d of 7 gangs waited for a machine to boot", late)
+	}
+	if n := len(w.Workers); n > 0 {
+		t.Errorf("%d machines are kept though no gang has come for 100 s", n)
+	}
+	for _, b := range w.Check.Broken {
+		t.Error(b)
+	}
+}
