Let a new leader learn from the list when machines were rented

Cause: after a takeover each machine counted as rented at the election, so that idle ones stayed for another minimum charge of 60 s. TestNewLeaderLearnsAges fails without the change.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -164,6 +164,9 @@
 	if m.endpoint == "" {
 		m.endpoint = l.Endpoint
 	}
+	// A new leader doesn't know when it was rented: counted from the election,
+	// its minimum charge kept it for a minute with nothing to do.
+	m.hiredAt = min(m.hiredAt, s.now-age)
 	if l.State == "failed" && s.now-m.lastBeat > s.cfg.Lease/2 {
 		m.dead = true
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -476,3 +476,25 @@
 		t.Error("tasks are placed while both attempts are being ended")
 	}
 }
+
+// TestNewLeaderLearnsAges: a new leader doesn't know when machines were rented.
+// The list tells, and an idle one goes back without another minimum charge.
+func TestNewLeaderLearnsAges(t *testing.T) {
+	s := alone()
+	s.types["small"] = &model.MachineType{Name: "small", BootS: 10}
+	m := s.machine("n-1")
+	s.describe(m, "e", "small", "a", false)
+	s.now, s.electedAt = 100*time.Second, 90*time.Second
+	m.hiredAt, m.idleSince = s.electedAt, s.electedAt
+	if s.idleEnough(m) {
+		t.Error("given back before it is known that its minimum charge is used up")
+	}
+	s.listed(model.Listed{Host: "n-1", Endpoint: "e", Type: "small", Zone: "a", State: "running", AgeS: 70})
+	if !s.idleEnough(m) {
+		t.Error("kept though the cloud says that it was rented 70 s ago")
+	}
+	s.listed(model.Listed{Host: "n-1", Endpoint: "e", Type: "small", Zone: "a", State: "running", AgeS: 20})
+	if !s.idleEnough(m) {
+		t.Error("an older list made it younger")
+	}
+}
