--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -85,6 +85,11 @@
 	}
 	if t.toldCancelled != 0 {
 		c.LateStarts++
+		// A start on its way, to a machine that hangs too, can come later than the
+		// confirmation; but nobody may send one once the stalest view is over.
+		if limit := c.w.Opt.Config.CancelIn - c.w.Opt.Config.Lease; c.w.Now > t.toldCancelled+limit {
+			c.broken("late_start", "%s starts, confirmed as cancelled at %v", task, t.toldCancelled)
+		}
 	}
 	t.on[task] = wk
 	if t.began == 0 {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -106,6 +106,20 @@
 				w.Users.Cancel("req-500000")
 			})
 		}},
+		{rule: "late_start", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
+			return answer(e, func(st core.JobStatus) core.JobStatus {
+				if st.ID == "req-500000" && w.Now > 60*second {
+					st.Phase = model.PhaseAborted
+				}
+				return st
+			})
+		}, setup: func(w *World) {
+			w.At(20*second, func() {
+				w.Users.Submit(model.Job{ID: "req-500000", Team: "t", Class: "c", Kind: model.Batch, Priority: model.Low,
+					Tasks: 120, CPUs: 2, MemoryGB: 1, Image: "low", ImageGB: 1, Estimate: 10}, 15*second)
+			})
+			w.At(60*second, func() { w.Check.jobs["req-500000"].asked = true }) // and is told so, while it goes on
+		}},
 		{rule: "forgotten", tamper: func(w *World, n *Node, e core.Effect) core.Effect {
 			if r, ok := e.(core.Reply); ok && r.Status == 200 && w.Now > 60*second {
 				if _, ok := r.Body.(core.JobStatus); ok {
