Make room for gangs within their team's guarantee, or for prod ones, as one decision

Until now no work was stopped for a gang: a team within its guarantee waited for other teams' borrowing. Victims on all machines that a gang needs are now chosen together (least loss first, so work that saves goes first), nothing is stopped where the gang as a whole still wouldn't fit or would be beyond its team's limit, and the room on all of them is kept until it goes. A gang that is chosen ends as a whole, and only if its team keeps its own guarantee: also where a service or an array makes room, which counted only the one task before. Victims on one machine are now counted together against a guarantee as well.

TestGangMakesRoom has a row for each of this.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -139,7 +139,7 @@
 		if j.entry == nil {
 			j.entry = &sched.Job{
 				ID: j.ID, Rank: queueRank(j), Arrival: j.arrival, Ref: j,
-				Need:  sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB},
+				Need:  j.need(),
 				Image: j.Image, ImageGB: j.ImageGB,
 				Estimate: time.Duration(j.Estimate * float64(time.Second)),
 				Endless:  j.Kind == model.Service,
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"mulleinfall/internal/model"
-	"mulleinfall/internal/sched"
 )
 
 // A gang's tasks find each other by their attempt, start when the last of them
@@ -166,7 +165,7 @@
 	if !s.usable(m) || m.spot && !g.Spot || !g.AllowsType(m.typeName) {
 		return 0
 	}
-	need := sched.Resources{CPUs: g.CPUs, GPUs: g.GPUs, MemoryGB: g.MemoryGB}
+	need := g.need()
 	n := 0
 	for free := m.view.Free; n < g.Tasks && free.Fits(need); free = free.Sub(need) {
 		n++
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"mulleinfall/internal/model"
-	"mulleinfall/internal/sched"
 )
 
 // Giving machines back, and the zones that are left alone meanwhile.
@@ -184,7 +183,7 @@
 	if j == nil || m.spot || !s.usable(m) {
 		return 0
 	}
-	need := sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+	need := j.need()
 	n := 0
 	for free := m.view.Free; n < s.cfg.SpareServices && free.Fits(need); free = free.Sub(need) {
 		n++
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -73,6 +73,15 @@
 	chunkWords = chunkTasks / 64
 )
 
+// need is what each task takes of its machine.
+func (j *job) need() sched.Resources {
+	return sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+}
+
+// teamShare is what each task takes of its team's guarantee and limit, which are
+// given in CPUs and GPUs.
+func (j *job) teamShare() sched.Resources { return sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs} }
+
 func (j *job) final() bool { return j.phase != "" }
 
 func (j *job) isDone(i int) bool { return j.doneBits[i/64]&(1<<(i%64)) != 0 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -9,7 +9,6 @@
 
 	"mulleinfall/internal/fleet"
 	"mulleinfall/internal/model"
-	"mulleinfall/internal/sched"
 )
 
 // Renting: what waits against what is there and on its way.
@@ -142,7 +141,7 @@
 }
 
 func (s *State) want(j *job, n int) fleet.Want {
-	w := fleet.Want{Job: &j.Job, Count: n, Need: sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}}
+	w := fleet.Want{Job: &j.Job, Count: n, Need: j.need()}
 	w.OneZone, w.Together = j.OneZone, j.Kind == model.Gang
 	if w.OneZone && len(j.tasks) > 0 {
 		bound := j.Job
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"mulleinfall/internal/model"
-	"mulleinfall/internal/sched"
 )
 
 // Tasks: bound to a machine before they are started, unbound once that is
@@ -41,7 +40,7 @@
 	t.zone = t.m.zone
 	t.job.tasks[t.index], t.m.tasks[t.name] = t, t
 	t.job.zones[t.zone]++
-	s.teams[t.job.Team] = s.teams[t.job.Team].Add(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+	s.teams[t.job.Team] = s.teams[t.job.Team].Add(t.job.teamShare())
 	t.m.stale, t.m.unsent = true, true
 }
 
@@ -55,7 +54,7 @@
 		delete(t.job.tasks, t.index)
 		t.job.zones[t.zone]--
 	}
-	s.teams[t.job.Team] = s.teams[t.job.Team].Sub(sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs})
+	s.teams[t.job.Team] = s.teams[t.job.Team].Sub(t.job.teamShare())
 	t.m.stale = true
 }
 
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -38,7 +38,7 @@
 		if t.job.Kind == model.Service && !t.killing {
 			v.Stays += t.job.CPUs
 		}
-		need := sched.Resources{CPUs: t.job.CPUs, GPUs: t.job.GPUs, MemoryGB: t.job.MemoryGB}
+		need := t.job.need()
 		v.Free = v.Free.Sub(need)
 		end := sched.Never
 		if t.killing {
@@ -55,7 +55,7 @@
 	}
 	for name := range m.strangers {
 		if j := s.strangerJob(name); j != nil {
-			v.Free = v.Free.Sub(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB})
+			v.Free = v.Free.Sub(j.need())
 		} else {
 			v.Free = sched.Resources{} // unknown size: wait until it is gone
 		}
@@ -121,10 +121,10 @@
 	return !j.Spread || here < j.ZoneCap()
 }
 
-func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.underLimit(sj.Ref.(*job)) }
+func (e *roundEnv) UnderLimit(sj *sched.Job) bool { return e.s.withinLimit(sj.Ref.(*job), 1) }
 
-// underLimit says whether one more task of j keeps its team within its limit.
-func (s *State) underLimit(j *job) bool {
+// withinLimit says whether n more tasks of j keep its team within its limit.
+func (s *State) withinLimit(j *job, n int) bool {
 	lim := s.cfg.Teams[j.Team].Limit
 	if lim.CPUs == 0 && lim.GPUs == 0 {
 		return true
@@ -143,12 +143,13 @@
 				return false // whose it is isn't known: it may be this team's
 			}
 			if o.Team == j.Team {
-				used = used.Add(sched.Resources{CPUs: o.CPUs, GPUs: o.GPUs})
+				used = used.Add(o.teamShare())
 			}
 		}
 	}
+	used = used.Add(j.teamShare().Times(n))
 	const slack = 1e-6
-	return (lim.CPUs == 0 || used.CPUs+j.CPUs <= lim.CPUs+slack) && (lim.GPUs == 0 || used.GPUs+j.GPUs <= lim.GPUs+slack)
+	return (lim.CPUs == 0 || used.CPUs <= lim.CPUs+slack) && (lim.GPUs == 0 || used.GPUs <= lim.GPUs+slack)
 }
 
 // Place binds the next waiting task of a job to a machine.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -415,7 +415,7 @@
 			if n == 0 {
 				continue
 			}
-			if w := m.freeIn(now, j.Need.times(n)); w < Never {
+			if w := m.freeIn(now, j.Need.Times(n)); w < Never {
 				list = append(list, m)
 				holds[m], wait[m] = n, w
 			}
@@ -471,7 +471,8 @@
 	return last - now
 }
 
-func (r Resources) times(n int) Resources {
+// Times returns r taken n times.
+func (r Resources) Times(n int) Resources {
 	k := float64(n)
 	return Resources{r.CPUs * k, r.GPUs * k, r.MemoryGB * k}
 }
--- a/internal/standin/sharing_test.go
+++ b/internal/standin/sharing_test.go
@@ -202,3 +202,93 @@
 		}
 	}
 }
+
+// TestGangMakesRoom: a gang within its team's guarantee, or more urgent than
+// what runs, gets the room of other work on all machines that it needs at once;
+// where the gang as a whole still wouldn't fit, nothing is stopped.
+func TestGangMakesRoom(t *testing.T) {
+	const arrival = 60 * second
+	own := func(tasks int) model.Job {
+		g := gangOf("req-000009", tasks)
+		g.Team = "own"
+		return g
+	}
+	for _, c := range []struct {
+		name string
+		team core.Team // of the gang
+		load func(w *World)
+		gang model.Job
+		// begins: the gang runs within 15 s; left: tasks of the others that run on.
+		begins bool
+		left   map[string]int
+	}{
+		{name: "within the guarantee, others borrow", team: core.Team{Guaranteed: sched.Resources{CPUs: 8}}, gang: own(4), begins: true,
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 4}},
+		{name: "a part of it is beyond the guarantee", team: core.Team{Guaranteed: sched.Resources{CPUs: 8}}, gang: own(5),
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 12}},
+		{name: "it would not fit into any zone", team: core.Team{Guaranteed: sched.Resources{CPUs: 8}}, gang: func() model.Job { g := own(3); g.OneZone = true; return g }(),
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 12}},
+		{name: "one zone is cleared for it", team: core.Team{Guaranteed: sched.Resources{CPUs: 8}}, gang: func() model.Job { g := own(2); g.OneZone = true; return g }(), begins: true,
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 8}},
+		{name: "it would be beyond the team's limit", team: core.Team{Guaranteed: sched.Resources{CPUs: 12}, Limit: sched.Resources{CPUs: 10}}, gang: own(4),
+			load: func(w *World) {
+				mine := batch("req-000002", 4)
+				mine.Team = "own"
+				w.Users.Submit(mine, 200*second)
+				w.Users.Submit(batch("req-000001", 8), 200*second)
+			}, left: map[string]int{"req-000001": 8, "req-000002": 4}},
+		{name: "work that saves goes first", team: core.Team{Guaranteed: sched.Resources{CPUs: 8}}, gang: own(3), begins: true,
+			load: func(w *World) {
+				saves := batch("req-000002", 6)
+				saves.Checkpoint, saves.SaveCost = 3, 1
+				w.Users.Submit(saves, 200*second)
+				w.Users.Submit(batch("req-000001", 6), 200*second)
+			}, left: map[string]int{"req-000001": 6, "req-000002": 0}},
+		{name: "a borrowing gang ends as a whole", team: core.Team{Guaranteed: sched.Resources{CPUs: 4}}, gang: own(2), begins: true,
+			load: func(w *World) { w.Users.Submit(gangOf("req-000001", 6), 200*second) }, left: map[string]int{"req-000001": 0}},
+		{name: "a gang that is partly within its own guarantee runs on", team: core.Team{Guaranteed: sched.Resources{CPUs: 4}}, gang: own(2),
+			load: func(w *World) {
+				w.Opt.Config.Teams["t"] = core.Team{Guaranteed: sched.Resources{CPUs: 8}}
+				w.Users.Submit(gangOf("req-000001", 6), 200*second)
+			}, left: map[string]int{"req-000001": 6}},
+		{name: "no guarantee, equally urgent", gang: own(2),
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 12}},
+		{name: "more urgent than anything else", gang: func() model.Job { g := own(2); g.Priority = model.Prod; return g }(), begins: true,
+			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 8}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			opt := Defaults(4)
+			opt.Capacity = 1 // three machines of 4 CPUs, one in each zone, and spot ones that nobody may use
+			opt.Config.Teams["own"] = c.team
+			w := New(opt)
+			w.At(second, func() { c.load(w) })
+			w.At(arrival, func() { w.Users.Submit(c.gang, 10*second) })
+			least := map[string]int{}
+			var look func()
+			look = func() {
+				for id := range c.left {
+					least[id] = min(least[id], len(w.Check.jobs[id].on))
+				}
+				w.After(100*time.Millisecond, look)
+			}
+			w.At(arrival-second, func() {
+				for id := range c.left {
+					least[id] = len(w.Check.jobs[id].on)
+				}
+				look()
+			})
+			w.Run(arrival + 15*second)
+			for id, want := range c.left {
+				if least[id] != want {
+					t.Errorf("%d tasks of %s run on at least, want %d", least[id], id, want)
+				}
+			}
+			if began := w.Check.jobs[c.gang.ID].began != 0; began != c.begins {
+				t.Errorf("the gang has begun within 15 s: %v, want %v", began, c.begins)
+			}
+			for _, b := range w.Check.Broken {
+				t.Error(b)
+			}
+		})
+	}
+}
