--- a/internal/core/eviction.go
+++ b/internal/core/eviction.go
@@ -108,7 +108,9 @@
 		return false
 	}
 	if t.job.rank > e.job.rank {
-		return true
+		// Else a job that is served once in a while, ahead of its turn, would
+		// never get beyond its first task.
+		return e.job.rank == model.Rank(model.Prod) || !e.s.firstTask(t)
 	}
 	if t.job.Team == e.job.Team || !e.guaranteed() {
 		return false
@@ -118,6 +120,12 @@
 	return left.CPUs > guarantee.CPUs-guaranteeSlack && left.GPUs > guarantee.GPUs-guaranteeSlack
 }
 
+// firstTask says whether t is all that runs of a job that has waited so long
+// that one of its tasks went before everything else.
+func (s *State) firstTask(t *task) bool {
+	return len(t.job.tasks) == 1 && t.job.doneCount == 0 && s.age(t.job) > beginWithin/3
+}
+
 // mayStopAll asks again once earlier choices have changed what a team is beyond
 // its guarantee.
 func (e *eviction) mayStopAll(victims []*task) bool {
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -9,8 +9,9 @@
 
 // Making room: work that is stopped or kept off for more urgent work.
 
-// makeRoom stops work of lower priority for prod work that finds no room, and
-// work that other teams run beyond their guarantee for a team within its own.
+// makeRoom stops work of lower priority for prod work and for gangs that find no
+// room, and work that other teams run beyond their guarantee for a team within
+// its own.
 func (s *State) makeRoom(queue []*job, env *roundEnv) {
 	var used map[string]sched.Resources
 	for _, j := range queue {
@@ -38,14 +39,10 @@
 }
 
 // mayPreempt says whether other work may be stopped for waiting tasks of j: it
-// is prod work, or its next task, of a gang all of them, is within its team's
-// guarantee.
+// is prod work, a gang, whose room would never come free all at once by itself,
+// or its next task is within its team's guarantee.
 func (s *State) mayPreempt(j *job, used map[string]sched.Resources) bool {
-	n := 1
-	if j.Kind == model.Gang {
-		n = j.entry.Waiting
-	}
-	return j.rank == model.Rank(model.Prod) || s.guaranteed(j, n, used)
+	return j.rank == model.Rank(model.Prod) || j.Kind == model.Gang || s.guaranteed(j, 1, used)
 }
 
 // roomReserved counts the machines whose room is kept for j.
--- a/internal/standin/sharing_test.go
+++ b/internal/standin/sharing_test.go
@@ -253,6 +253,20 @@
 			}, left: map[string]int{"req-000001": 6}},
 		{name: "no guarantee, equally urgent", gang: own(2),
 			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 12}},
+		{name: "more urgent than some, who have to make room", gang: func() model.Job { g := own(3); g.Priority = model.High; return g }(), begins: true,
+			load: func(w *World) {
+				same := batch("req-000002", 6)
+				same.Priority = model.High
+				w.Users.Submit(same, 200*second)
+				w.Users.Submit(batch("req-000001", 6), 200*second)
+			}, left: map[string]int{"req-000001": 0, "req-000002": 6}},
+		{name: "more urgent than some, but they can't make room for all of it", gang: func() model.Job { g := own(4); g.Priority = model.High; return g }(),
+			load: func(w *World) {
+				same := batch("req-000002", 6)
+				same.Priority = model.High
+				w.Users.Submit(same, 200*second)
+				w.Users.Submit(batch("req-000001", 6), 200*second)
+			}, left: map[string]int{"req-000001": 6, "req-000002": 6}},
 		{name: "more urgent than anything else", gang: func() model.Job { g := own(2); g.Priority = model.Prod; return g }(), begins: true,
 			load: func(w *World) { w.Users.Submit(batch("req-000001", 12), 200*second) }, left: map[string]int{"req-000001": 8}},
 	} {
