--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -362,7 +362,7 @@
 		StoreRPS: p.State.RPS, StoreWrites: p.State.WriteRPS,
 		ValueBytes: int(p.State.ValueKB * 1024), TxnOps: p.State.TxnOps,
 		GangWait: seconds(p.Workers.GangWaitS), GangPeer: seconds(p.Workers.GangPeerS),
-		Forms:    core.NewestForms,
+		Version:  core.NewestVersion,
 		CloudRPS: p.Cloud.RPS, ListLag: seconds(p.Cloud.ListLagS),
 		Directs: s.Sockets().Direct, Requests: s.Sockets().Public,
 		Tuning: s.Tuning, Goals: map[string]core.Goal{},
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -332,7 +332,7 @@
 	// would hold isn't durable, so that workers keep it.
 	most := (s.cfg.ValueBytes - 64) * 3 / 4
 	last := max(len(b)-1, 0) / most * most
-	if s.forms < formsGangs && last > 0 {
+	if s.clusterVersion < versionGangs && last > 0 {
 		if slices.ContainsFunc(c.durable[most/8:], func(w uint64) bool { return w != 0 }) {
 			c.dirty, c.writing = true, false
 			return // a larger value stands, and would lose what is beyond
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -12,21 +12,21 @@
 // lead is what concerns leadership: promises, candidacy and the leader's own
 // bookkeeping, which a new term starts afresh.
 type lead struct {
-	voter     *election.Voter
-	peers     map[string]*peerState
-	tenure    *election.Tenure // candidacy or leadership; nil for a follower
-	grant     uint64           // lease of the leader key
-	grantAt   time.Duration    // sending of the request that got it
-	bidding   bool             // grant or key transaction under way
-	raising   bool             // the write of the forms in use is under way
-	nextBid   time.Duration
-	claimAt   time.Duration
-	touchAt   time.Duration
-	helloAt   time.Duration
-	touching  bool
-	unreached bool          // stepped down because no worker came, and none has come since
-	overran   time.Duration // stepped down because its entitlement ran out; 0: never
-	abstain   time.Duration // no candidacy before
+	voter          *election.Voter
+	peers          map[string]*peerState
+	tenure         *election.Tenure // candidacy or leadership; nil for a follower
+	grant          uint64           // lease of the leader key
+	grantAt        time.Duration    // sending of the request that got it
+	bidding        bool             // grant or key transaction under way
+	raisingVersion bool             // the write of the cluster version is under way
+	nextBid        time.Duration
+	claimAt        time.Duration
+	touchAt        time.Duration
+	helloAt        time.Duration
+	touching       bool
+	unreached      bool          // stepped down because no worker came, and none has come since
+	overran        time.Duration // stepped down because its entitlement ran out; 0: never
+	abstain        time.Duration // no candidacy before
 
 	electedAt  time.Duration
 	electedRev uint64
@@ -71,7 +71,7 @@
 
 	refusedTerm uint64
 	top         uint64 // highest term that the peer knows of
-	forms       int    // the newest that it knows, as it last said
+	version     int    // the newest that it knows, as it last said
 	life        uint64 // of the peer, that this node last promised support to
 	free        bool   // has said that it counts on no promise of our earlier life
 }
@@ -364,7 +364,7 @@
 	if s.voter.Grant(s.now, s.cfg.Self, t.Term) {
 		t.Promised(s.now, s.cfg.Self, s.now)
 	}
-	m := PeerMsg{Kind: MsgClaim, Ask: s.cfg.Boot, Forms: s.cfg.Forms, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}
+	m := PeerMsg{Kind: MsgClaim, Ask: s.cfg.Boot, Version: s.cfg.Version, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}
 	if s.ready {
 		s.shared(s.rev)
 		m.Rev, m.Read = s.rev, s.now-s.readAt > s.ecf.Staleness/4
@@ -397,7 +397,7 @@
 			}
 		}
 	}
-	s.raiseForms()
+	s.raiseClusterVersion()
 	if s.cutFromWorkers() {
 		s.abstain = s.now + s.cfg.Lease
 		s.unreached = true
@@ -531,7 +531,7 @@
 		}
 		s.vouch(from, m.Term, m.Stamp)
 		granted := !cut && m.Term >= s.term && s.voter.Grant(s.now, from, m.Term)
-		reply := PeerMsg{Kind: MsgPromise, Ask: m.Ask, Forms: s.cfg.Forms, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
+		reply := PeerMsg{Kind: MsgPromise, Ask: m.Ask, Version: s.cfg.Version, Term: m.Term, Sent: m.Sent, Granted: granted, Cut: cut,
 			StoreOK: s.storeOK(), Top: max(s.term, s.voter.Top())}
 		if granted {
 			p.life = m.Ask
@@ -539,7 +539,7 @@
 		}
 		s.emit(PeerOut{from, reply})
 	case MsgPromise:
-		p.storeOK, p.heard, p.top, p.forms = m.StoreOK, s.now, m.Top, m.Forms
+		p.storeOK, p.heard, p.top, p.version = m.StoreOK, s.now, m.Top, m.Version
 		if s.tenure == nil || s.tenure.Term != m.Term || m.Ask != s.cfg.Boot {
 			// A late answer to an earlier life tells the time of another clock:
 			// counted, it would support this one for as long as that had run.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -9,14 +9,14 @@
 
 // Keys in the state service.
 const (
-	root       = "mf/"
-	keyTerm    = root + "term"
-	keyLeader  = root + "leader"
-	keyTypes   = root + "types"
-	keyForms   = root + "forms"
-	dirJobs    = root + "j/"
-	dirMachine = root + "m/" // a machine of the roster, by versions before the pages
-	dirPage    = root + "r/"
+	root              = "mf/"
+	keyTerm           = root + "term"
+	keyLeader         = root + "leader"
+	keyTypes          = root + "types"
+	keyClusterVersion = root + "forms"
+	dirJobs           = root + "j/"
+	dirMachine        = root + "m/" // a machine of the roster, by versions before the pages
+	dirPage           = root + "r/"
 	// Sorts behind dirJobs: a listing brings a job before its progress.
 	dirProgress = root + "p/"
 )
@@ -39,16 +39,16 @@
 	readAt   time.Duration // sending of the last read that made this copy complete
 	hasTouch bool
 
-	termStamp   uint64
-	termNode    string // who won it
-	term        uint64
-	leaderNode  string
-	leaderTerm  uint64
-	leaderGrant uint64
-	leaderStamp uint64
-	leaderGone  time.Duration // when the key was last seen to go
-	typesStamp  uint64
-	forms       int // in use by the whole cluster: see forms.go
+	termStamp      uint64
+	termNode       string // who won it
+	term           uint64
+	leaderNode     string
+	leaderTerm     uint64
+	leaderGrant    uint64
+	leaderStamp    uint64
+	leaderGone     time.Duration // when the key was last seen to go
+	typesStamp     uint64
+	clusterVersion int // in use by the whole cluster: see version.go
 }
 
 func (r *replica) init() {
@@ -242,8 +242,8 @@
 				s.leaderNode, s.leaderTerm, s.leaderGrant, s.leaderStamp = v.Node, v.Term, v.Grant, it.Stamp
 			}
 		}
-	case it.Key == keyForms:
-		s.formsChanged(it)
+	case it.Key == keyClusterVersion:
+		s.clusterVersionChanged(it)
 	case it.Key == keyTypes:
 		s.typesStamp = it.Stamp
 		s.typesFromStore(it.Value)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -40,10 +40,10 @@
 	// GangWait is how long a gang's task waits for the others, GangPeer how soon
 	// it notices that one is gone. 0: no gangs.
 	GangWait, GangPeer time.Duration
-	// Forms is the newest form of messages and stored values that this program
-	// knows: NewestForms, but in tests that play a former version.
-	Forms int
-	Skew  time.Duration // bound on how far the time of day is off; 0: not known
+	// Version is the newest version of messages and stored values that this program
+	// knows: NewestVersion, but in tests that play a former version.
+	Version int
+	Skew    time.Duration // bound on how far the time of day is off; 0: not known
 
 	StoreRPS    float64
 	StoreWrites float64
@@ -333,7 +333,7 @@
 	Wall     int64          `msgpack:"wl,omitempty"`
 	Status   int            `msgpack:"code,omitempty"`
 	Retry    int            `msgpack:"ra,omitempty"`
-	Forms    int            `msgpack:"fm,omitempty"` // the newest that the sender knows
+	Version  int            `msgpack:"fm,omitempty"` // the newest that the sender knows
 	Rev      uint64         `msgpack:"rv,omitempty"` // a leader's: it knows of all changes up to here
 	Read     bool           `msgpack:"rl,omitempty"` // a read lease is asked for, or granted
 	Loaded   bool           `msgpack:"ld,omitempty"` // its grantor has read all since its start
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -107,7 +107,7 @@
 		s.answer(o, 400, Problem{"shape: gangs are not set up here"}, 0)
 		return
 	}
-	if spec.Kind == model.Gang && s.forms < formsGangs {
+	if spec.Kind == model.Gang && s.clusterVersion < versionGangs {
 		// A controller of the former version may still take this job over.
 		s.later(o, "not all controllers know gangs yet")
 		return
--- a/internal/core/forms_test.go
+++ b/internal/core/version_test.go
@@ -74,7 +74,7 @@
 
 // TestSaysWhatProductionReads: a message of the present version has, under the
 // same names and as the same kinds of values, what the one in production put into
-// it, and nothing else but the number of the forms, which that ignores.
+// it, and nothing else but the number of the version, which that ignores.
 func TestSaysWhatProductionReads(t *testing.T) {
 	for _, x := range production(t) {
 		if x.kind != "message" {
@@ -84,7 +84,7 @@
 		if err := json.Unmarshal([]byte(x.fields), &m); err != nil {
 			t.Fatal(err)
 		}
-		m.Forms = NewestForms
+		m.Version = NewestVersion
 		b, err := msgpack.Marshal(m)
 		if err != nil {
 			t.Fatal(err)
@@ -150,9 +150,9 @@
 // written, which is the former form, and never over a larger one.
 func TestBitmapsInParts(t *testing.T) {
 	const tasks = 30000
-	leader := func(forms int) (*State, *job) {
+	leader := func(version int) (*State, *job) {
 		s := alone()
-		s.cfg.ValueBytes, s.forms = 2048, forms
+		s.cfg.ValueBytes, s.clusterVersion = 2048, version
 		s.loaded, s.hasTouch, s.ready = true, true, true
 		s.tenure = newTenure(s)
 		s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Tasks: tasks, Kind: model.Batch}}), Stamp: 5})
@@ -166,30 +166,30 @@
 		}
 		return out
 	}
-	for _, c := range []struct{ forms, parts int }{{formsFirst, 1}, {formsGangs, 3}} {
-		s, j := leader(c.forms)
+	for _, c := range []struct{ version, parts int }{{versionFirst, 1}, {versionGangs, 3}} {
+		s, j := leader(c.version)
 		for i := range tasks {
 			j.done(i)
 		}
 		out := write(s, j)
 		if len(out) != c.parts {
-			t.Errorf("forms %d: %d values, want %d", c.forms, len(out), c.parts)
+			t.Errorf("version %d: %d values, want %d", c.version, len(out), c.parts)
 		}
-		again, k := leader(c.forms)
+		again, k := leader(c.version)
 		stamp := uint64(6)
 		for _, key := range slices.Sorted(maps.Keys(out)) {
 			if len(out[key]) > 2048 {
-				t.Errorf("forms %d: %s has %d bytes", c.forms, key, len(out[key]))
+				t.Errorf("version %d: %s has %d bytes", c.version, key, len(out[key]))
 			}
 			stamp++
 			again.apply(Item{Key: key, Value: out[key], Stamp: stamp})
 		}
-		if want := tasks; c.forms == formsGangs && k.doneCount != want || c.forms == formsFirst && (k.doneCount < 10000 || k.doneCount == want) {
-			t.Errorf("forms %d: %d of %d finished tasks read back", c.forms, k.doneCount, tasks)
+		if want := tasks; c.version == versionGangs && k.doneCount != want || c.version == versionFirst && (k.doneCount < 10000 || k.doneCount == want) {
+			t.Errorf("version %d: %d of %d finished tasks read back", c.version, k.doneCount, tasks)
 		}
 	}
 	// A larger value of the former version stands until it can be kept in parts.
-	s, j := leader(formsFirst)
+	s, j := leader(versionFirst)
 	big := make([]byte, tasks/8)
 	for i := range big {
 		big[i] = 0xff
--- a/internal/standin/roll_test.go
+++ b/internal/standin/roll_test.go
@@ -178,10 +178,10 @@
 				t.Error(b)
 			}
 			if raised <= rolled || raised > rolled+30*second {
-				t.Errorf("the last controller is changed over at %v, the new forms were put to use at %v", rolled, raised)
+				t.Errorf("the last controller is changed over at %v, the cluster version was raised at %v", rolled, raised)
 			}
 			if gangAt <= raised {
-				t.Errorf("a gang was accepted at %v, the new forms were put to use at %v", gangAt, raised)
+				t.Errorf("a gang was accepted at %v, the cluster version was raised at %v", gangAt, raised)
 			}
 			if w.Store.Refused > 0 || w.Store.Refused429 > 0 {
 				t.Errorf("%d transactions beyond the lowered limits, %d beyond the rate", w.Store.Refused, w.Store.Refused429)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -108,7 +108,7 @@
 			Teams:       map[string]core.Team{"t": {}, "tight": {}},
 			Skew:        time.Second,
 			ReportEvery: 1500 * time.Millisecond, Lease: 10 * time.Second, CancelIn: 30 * time.Second,
-			GangWait: 40 * time.Second, GangPeer: 5 * time.Second, Forms: core.NewestForms,
+			GangWait: 40 * time.Second, GangPeer: 5 * time.Second, Version: core.NewestVersion,
 			StoreRPS: 150, StoreWrites: 50, ValueBytes: 32 << 10, TxnOps: 12, CloudRPS: 6, ListLag: 5 * time.Second,
 			Directs: 64, Requests: 800,
 			Tuning: core.DefaultTuning(),
@@ -251,7 +251,7 @@
 		}
 	}
 	if n.w.Old[n.Name] {
-		cfg.Forms = 0
+		cfg.Version = 0
 		n.w.Opt.Former(&cfg)
 	}
 	n.Boots++
