Let controllers note their version durably; roll in each order; keep first gangs' sample

Each controller now notes its version under v/NAME when it starts; former versions pass the key over. A note whose controller says a former version is removed. Ruled out: counting only on the leader's memory, which ends with it.

TestRoll plays each of the six orders with eight troubles, checks each value and transaction of a new controller against the lowered limits, and that a leader of either version led beside none, one and two former ones. Its check of unknown fields now also fails on unknown keys, but for the two that are named there: the check knew only one of them before.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -19,6 +19,9 @@
 	grantAt        time.Duration    // sending of the request that got it
 	bidding        bool             // grant or key transaction under way
 	raisingVersion bool             // the write of the cluster version is under way
+	versionNoted   bool             // this controller's own version is in the state service
+	ownVersion     int              // as noted there, perhaps by an earlier life
+	noteVersionAt  time.Duration    // not before
 	nextBid        time.Duration
 	claimAt        time.Duration
 	touchAt        time.Duration
@@ -71,7 +74,8 @@
 
 	refusedTerm uint64
 	top         uint64 // highest term that the peer knows of
-	version     int    // the newest that it knows, as it last said
+	version     int    // the newest that it knows, by its last word or note
+	noted       bool   // the state service holds its note of that
 	life        uint64 // of the peer, that this node last promised support to
 	free        bool   // has said that it counts on no promise of our earlier life
 }
@@ -514,6 +518,7 @@
 		}
 	case MsgClaim:
 		p.storeOK, p.heard = m.StoreOK, s.now
+		s.heardVersion(from, m.Version)
 		if m.Rev != 0 && m.Term >= s.term {
 			s.shared(m.Rev)
 		}
@@ -539,7 +544,8 @@
 		}
 		s.emit(PeerOut{from, reply})
 	case MsgPromise:
-		p.storeOK, p.heard, p.top, p.version = m.StoreOK, s.now, m.Top, m.Version
+		p.storeOK, p.heard, p.top = m.StoreOK, s.now, m.Top
+		s.heardVersion(from, m.Version)
 		if s.tenure == nil || s.tenure.Term != m.Term || m.Ask != s.cfg.Boot {
 			// A late answer to an earlier life tells the time of another clock:
 			// counted, it would support this one for as long as that had run.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -17,6 +17,7 @@
 	dirJobs           = root + "j/"
 	dirMachine        = root + "m/" // a machine of the roster, by versions before the pages
 	dirPage           = root + "r/"
+	dirVersions       = root + "v/"
 	// Sorts behind dirJobs: a listing brings a job before its progress.
 	dirProgress = root + "p/"
 )
@@ -244,6 +245,8 @@
 		}
 	case it.Key == keyClusterVersion:
 		s.clusterVersionChanged(it)
+	case strings.HasPrefix(it.Key, dirVersions):
+		s.nodeVersionChanged(strings.TrimPrefix(it.Key, dirVersions), it)
 	case it.Key == keyTypes:
 		s.typesStamp = it.Stamp
 		s.typesFromStore(it.Value)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -139,6 +139,7 @@
 	s.pumpTypes()
 	s.expireAsks()
 	s.tellWaiting()
+	s.noteVersion()
 	s.hello()
 	s.campaign()
 	if !s.Leading() {
--- a/internal/core/version.go
+++ b/internal/core/version.go
@@ -36,6 +36,73 @@
 	}
 }
 
+// nodeVersionValue is the newest version that a controller knows, as it has
+// noted itself in the state service.
+type nodeVersionValue struct {
+	Version int `json:"forms"`
+}
+
+// nodeVersionChanged takes a controller's note. What came last counts: the note
+// or what the controller says.
+func (s *State) nodeVersionChanged(node string, it Item) {
+	var v nodeVersionValue
+	if !it.Removed && json.Unmarshal(it.Value, &v) != nil {
+		s.log(slog.LevelError, "unreadable note of a version", "controller", node)
+		return
+	}
+	if node == s.cfg.Self {
+		s.ownVersion, s.versionNoted = v.Version, s.versionNoted && !it.Removed
+		return
+	}
+	if p := s.peers[node]; p != nil {
+		p.noted = !it.Removed
+		if p.noted {
+			p.version = v.Version
+		}
+	}
+}
+
+// noteVersion writes down, once after a start, which version this controller
+// knows. A leader elected later needs no word of it then: without the note, gangs
+// were refused for as long as a controller that had been changed over was out of
+// the leader's reach.
+func (s *State) noteVersion() {
+	if s.cfg.Version == versionFirst || s.clusterVersion >= s.cfg.Version || s.versionNoted {
+		return
+	}
+	// A cluster that is new altogether raises its version at once.
+	if !s.storeOK() || s.now < max(s.noteVersionAt, s.born+s.ecf.Promise/4) {
+		return
+	}
+	key := dirVersions + s.cfg.Self
+	if s.ownVersion == s.cfg.Version && s.stamp(key) != 0 {
+		s.versionNoted = true
+		return
+	}
+	s.noteVersionAt = s.now + s.ecf.Promise
+	s.put(&write{
+		change: Change{Key: key, Value: raw(nodeVersionValue{s.cfg.Version})}, deadline: s.noteVersionAt, class: classRoster,
+		done: func(r outcome) { s.versionNoted = s.versionNoted || r == written },
+	})
+}
+
+// heardVersion takes the version that a controller says it knows. One that was
+// changed back must not be counted on by its note; late words of its earlier life
+// cost no more than the note.
+func (s *State) heardVersion(node string, version int) {
+	p := s.peers[node]
+	p.version = version
+	if version >= s.cfg.Version || !p.noted || !s.Leading() {
+		return
+	}
+	p.noted = false
+	s.log(slog.LevelInfo, "a controller runs a former version again", "controller", node, "version", version)
+	s.put(&write{
+		change: Change{Key: dirVersions + node, Remove: true}, leader: s.tenure.Term,
+		deadline: s.now + time.Hour, class: classRoster, done: func(outcome) {},
+	})
+}
+
 // raiseClusterVersion notes that every controller knows the newest version, or
 // that there is nothing yet that another may have written.
 func (s *State) raiseClusterVersion() {
@@ -43,7 +110,7 @@
 		return
 	}
 	for _, p := range s.peers {
-		if !s.firstTerm && (p.version < s.cfg.Version || s.now-p.heard > s.ecf.Promise) {
+		if !s.firstTerm && !s.knowsNewest(p) {
 			return
 		}
 	}
@@ -54,3 +121,14 @@
 		done: func(outcome) { s.raisingVersion = false },
 	})
 }
+
+// knowsNewest says whether a controller surely knows this one's version: it has
+// just said so, or its last word or note said so and it could not be reached since
+// the election. A controller in reach is heard well within two promises, also one
+// that was changed back after its note.
+func (s *State) knowsNewest(p *peerState) bool {
+	if p.version < s.cfg.Version {
+		return false
+	}
+	return s.now-p.heard <= s.ecf.Promise || s.now-s.electedAt > 2*s.ecf.Promise
+}
--- a/internal/core/version_test.go
+++ b/internal/core/version_test.go
@@ -16,13 +16,20 @@
 	"mulleinfall/internal/model"
 )
 
-// sample is a message or stored value as the version in production made it:
-// for messages the fields and the bytes, for values the key and the JSON.
+// sample is a message or stored value as a former version made it: for messages
+// the fields and the bytes, for values the key and the JSON.
 type sample struct{ kind, name, fields, bytes string }
 
-func production(t *testing.T) []sample {
+// The kept samples: of the version in production, and of the first that runs
+// gangs, from which clusters may be rolled over as well.
+const (
+	production = "testdata/production.txt"
+	firstGangs = "testdata/first-gangs.txt"
+)
+
+func samples(t *testing.T, file string) []sample {
 	t.Helper()
-	text, err := os.ReadFile("testdata/production.txt")
+	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,64 +48,135 @@
 	return list
 }
 
-// TestReadsProductionMessages: what the version in production says to another
-// controller is understood as it was meant.
-func TestReadsProductionMessages(t *testing.T) {
-	read := 0
-	for _, x := range production(t) {
-		if x.kind != "message" {
-			continue
-		}
-		read++
-		b, err := hex.DecodeString(x.bytes)
-		if err != nil {
-			t.Fatal(err)
-		}
-		var m PeerMsg
-		if err := msgpack.Unmarshal(b, &m); err != nil {
-			t.Errorf("%s: %v", x.name, err)
-			continue
-		}
-		var want PeerMsg
-		if err := json.Unmarshal([]byte(x.fields), &want); err != nil {
-			t.Fatal(err)
+// TestReadsFormerMessages: what a former version says to another controller is
+// understood as it was meant.
+func TestReadsFormerMessages(t *testing.T) {
+	for file, kinds := range map[string]int{production: 16, firstGangs: 15} {
+		read := 0
+		for _, x := range samples(t, file) {
+			if x.kind != "message" {
+				continue
+			}
+			read++
+			b, err := hex.DecodeString(x.bytes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var m PeerMsg
+			if err := msgpack.Unmarshal(b, &m); err != nil {
+				t.Errorf("%s: %s: %v", file, x.name, err)
+				continue
+			}
+			var want PeerMsg
+			if err := json.Unmarshal([]byte(x.fields), &want); err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(m, want) {
+				t.Errorf("%s: %s: read as\n%+v, was\n%+v", file, x.name, m, want)
+			}
 		}
-		if !reflect.DeepEqual(m, want) {
-			t.Errorf("%s: read as\n%+v, was\n%+v", x.name, m, want)
+		if read < kinds {
+			t.Errorf("%s: %d kinds of messages, want all %d", file, read, kinds)
 		}
 	}
-	if read < 16 {
-		t.Errorf("%d kinds of messages, want all 16", read)
-	}
 }
 
-// TestSaysWhatProductionReads: a message of the present version has, under the
-// same names and as the same kinds of values, what the one in production put into
-// it, and nothing else but the number of the version, which that ignores.
-func TestSaysWhatProductionReads(t *testing.T) {
-	for _, x := range production(t) {
-		if x.kind != "message" {
-			continue
-		}
-		var m PeerMsg
-		if err := json.Unmarshal([]byte(x.fields), &m); err != nil {
-			t.Fatal(err)
+// TestSaysWhatFormersRead: a message of the present version has, under the same
+// names and as the same kinds of values, what a former one put into it, and
+// nothing else but the number of the version, which the one in production ignores.
+func TestSaysWhatFormersRead(t *testing.T) {
+	for _, file := range []string{production, firstGangs} {
+		for _, x := range samples(t, file) {
+			if x.kind != "message" {
+				continue
+			}
+			var m PeerMsg
+			if err := json.Unmarshal([]byte(x.fields), &m); err != nil {
+				t.Fatal(err)
+			}
+			if file == production {
+				m.Version = NewestVersion
+			}
+			b, err := msgpack.Marshal(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var now, then map[string]any
+			old, _ := hex.DecodeString(x.bytes)
+			if msgpack.Unmarshal(b, &now) != nil || msgpack.Unmarshal(old, &then) != nil {
+				t.Fatalf("%s: %s: not a map", file, x.name)
+			}
+			if file == production {
+				delete(now, "fm")
+			}
+			if !reflect.DeepEqual(now, then) {
+				t.Errorf("%s: %s: now\n%v, then\n%v", file, x.name, now, then)
+			}
 		}
-		m.Version = NewestVersion
-		b, err := msgpack.Marshal(m)
-		if err != nil {
-			t.Fatal(err)
+	}
+}
+
+// TestReadsFirstGangsValues: a controller that starts on what the first version
+// with gangs has stored knows its gangs, the cluster version, progress in parts
+// and machines, and writes the same again.
+func TestReadsFirstGangsValues(t *testing.T) {
+	s := alone()
+	stamp := uint64(10)
+	stored := map[string]string{}
+	for _, x := range samples(t, firstGangs) {
+		if x.kind == "value" {
+			stamp++
+			stored[x.name] = x.fields
+			s.apply(Item{Key: x.name, Value: json.RawMessage(x.fields), Stamp: stamp})
 		}
-		var now, then map[string]any
-		old, _ := hex.DecodeString(x.bytes)
-		if msgpack.Unmarshal(b, &now) != nil || msgpack.Unmarshal(old, &then) != nil {
-			t.Fatalf("%s: not a map", x.name)
+	}
+	if s.clusterVersion != versionGangs || s.term != 10 || s.leaderNode != "n2" {
+		t.Errorf("cluster version %d, term %d, leader %s", s.clusterVersion, s.term, s.leaderNode)
+	}
+	if g := s.jobs["req-300001"]; g == nil || g.Kind != model.Gang || g.Tasks != 6 || g.Checkpoint != 5 || g.SaveCost != 2 || s.active[g.ID] != g {
+		t.Errorf("a gang is read as %+v", g)
+	}
+	if j := s.jobs["req-300007"]; j == nil || j.phase != model.PhaseAborted {
+		t.Errorf("a withdrawn job is read as %+v", j)
+	}
+	for _, key := range []string{"mf/j/req-300001", "mf/forms", "mf/r/1", "mf/leader", "mf/term"} {
+		var again any
+		switch dir, fields := key, stored[key]; {
+		case strings.HasPrefix(dir, dirJobs):
+			again = readAs[jobValue](t, fields)
+		case strings.HasPrefix(dir, dirPage):
+			again = readAs[map[string]rosterValue](t, fields)
+		case dir == keyClusterVersion:
+			again = readAs[clusterVersionValue](t, fields)
+		case dir == keyLeader:
+			again = readAs[leaderValue](t, fields)
+		case dir == keyTerm:
+			again = readAs[termValue](t, fields)
 		}
-		delete(now, "fm")
-		if !reflect.DeepEqual(now, then) {
-			t.Errorf("%s: now\n%v, then\n%v", x.name, now, then)
+		if got := string(raw(again)); got != stored[key] {
+			t.Errorf("%s: written again as\n%s, was\n%s", key, got, stored[key])
 		}
 	}
+	// Of a job that goes on: each third of its tasks is done, in three parts.
+	s = alone()
+	s.apply(Item{Key: dirJobs + "req-000010", Value: raw(jobValue{Spec: &model.Job{ID: "req-000010", Tasks: 7000}}), Stamp: 5})
+	for _, part := range []string{"0", "0.1", "0.2"} {
+		stamp++
+		s.apply(Item{Key: dirProgress + "req-000010/" + part, Value: json.RawMessage(stored[dirProgress+"req-000010/"+part]), Stamp: stamp})
+	}
+	if j := s.jobs["req-000010"]; j.doneCount != 2334 || !j.isDone(6999) || j.isDone(6998) {
+		t.Errorf("%d of 2334 finished tasks read", j.doneCount)
+	}
+}
+
+// readAs decodes a stored value.
+func readAs[V any](t *testing.T, value string) V {
+	t.Helper()
+	var v V
+	if err := json.Unmarshal([]byte(value), &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
 }
 
 // TestReadsProductionValues: a controller that starts on what the version in
@@ -106,7 +184,7 @@
 func TestReadsProductionValues(t *testing.T) {
 	s := alone()
 	stamp := uint64(10)
-	for _, x := range production(t) {
+	for _, x := range samples(t, production) {
 		if x.kind == "value" {
 			stamp++
 			s.apply(Item{Key: x.name, Value: json.RawMessage(x.fields), Stamp: stamp})
@@ -145,6 +223,50 @@
 	}
 }
 
+// TestKnowsNewest: a controller's note counts once it has had the time to say
+// otherwise. What it says counts at once, and takes an outdated note away for
+// the leaders to come, which have not heard it.
+func TestKnowsNewest(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		note        int           // the version that it has noted
+		says        int           // the version that it says afterwards; -1: nothing
+		ago         time.Duration // since then
+		elected     time.Duration // how long ago this leader was
+		known, kept bool
+	}{
+		{"it says so", 0, versionGangs, time.Second, time.Second, true, true},
+		{"it has said so and is out of reach", 0, versionGangs, time.Minute, time.Minute, true, true},
+		{"nothing is known of it", 0, -1, 0, time.Minute, false, true},
+		{"only its note, and it may yet be heard", versionGangs, -1, 0, time.Second, false, true},
+		{"only its note, and it is out of reach", versionGangs, -1, 0, time.Minute, true, true},
+		{"it was changed back", versionGangs, versionFirst, time.Second, time.Minute, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := alone()
+			s.cfg.Version, s.cfg.Peers, s.peers = NewestVersion, []string{"n1"}, map[string]*peerState{"n1": {}}
+			s.loaded, s.hasTouch, s.ready, s.tenure = true, true, true, newTenure(s)
+			s.now = 10 * time.Minute
+			s.tenure.Promised(s.now, "n0", s.now)
+			s.electedAt = s.now - c.elected
+			if c.note > 0 {
+				s.apply(Item{Key: dirVersions + "n1", Value: raw(nodeVersionValue{c.note}), Stamp: 5})
+			}
+			if c.says >= 0 {
+				s.heardVersion("n1", c.says)
+				s.peers["n1"].heard = s.now - c.ago
+			}
+			if got := s.knowsNewest(s.peers["n1"]); got != c.known {
+				t.Errorf("counts as knowing the newest version: %v, want %v", got, c.known)
+			}
+			removed := slices.ContainsFunc(s.queue, func(w *write) bool { return w.change.Remove && w.change.Key == dirVersions+"n1" })
+			if removed == c.kept {
+				t.Errorf("the note is taken away: %v, want %v", removed, !c.kept)
+			}
+		})
+	}
+}
+
 // TestBitmapsInParts: where values are small, a large job's finished tasks are
 // kept in parts once all versions read them; before, the first part alone is
 // written, which is the former form, and never over a larger one.
--- a/internal/standin/roll_test.go
+++ b/internal/standin/roll_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,52 +77,151 @@
 	return known
 }
 
+// The limits of the state service before and after they are lowered.
+const (
+	loweredValueBytes = 2 << 10
+	loweredTxnOps     = 4
+	loweredWrites     = 35
+)
+
+func (w *World) lowerLimits() {
+	w.Store.MaxValue, w.Store.MaxOps, w.Store.MaxWrites = loweredValueBytes, loweredTxnOps, loweredWrites
+}
+
+// rollOptions are those of a cluster that runs the former version and is rolled
+// over to the present one, which keeps to the lowered limits from the start.
+func rollOptions(seed uint64) Options {
+	opt := Defaults(seed)
+	opt.Config.Teams["tight"] = core.Team{Limit: sched.Resources{CPUs: 9}}
+	former := opt.Config
+	opt.Config.ValueBytes, opt.Config.TxnOps, opt.Config.StoreWrites = loweredValueBytes, loweredTxnOps, loweredWrites
+	opt.Former = func(c *core.Config) {
+		c.ValueBytes, c.TxnOps, c.StoreWrites = former.ValueBytes, former.TxnOps, former.StoreWrites
+	}
+	opt.Capacity = 20
+	return opt
+}
+
+// rollWatch looks at all that is written and answered while the cluster is
+// rolled over.
+type rollWatch struct {
+	t      *testing.T
+	known  map[string]map[string]bool // fields that the version in production stores
+	raised time.Duration              // when the cluster version was
+	gangAt time.Duration              // when the first gang was accepted
+}
+
+func (r *rollWatch) tamper(w *World, n *Node, e core.Effect) core.Effect {
+	switch e := e.(type) {
+	case core.StoreCall:
+		r.written(w, n, e)
+	case core.Reply:
+		if st, ok := e.Body.(core.JobStatus); ok && e.Status == 201 && strings.HasPrefix(st.ID, "req-3") && r.gangAt == 0 {
+			r.gangAt = w.Now
+		}
+	}
+	return e
+}
+
+func (r *rollWatch) written(w *World, n *Node, c core.StoreCall) {
+	if w.Old[n.Name] {
+		return
+	}
+	if len(c.Then) > loweredTxnOps {
+		r.t.Errorf("%s makes %d changes in a transaction", n.Name, len(c.Then))
+	}
+	for _, ch := range c.Then {
+		if len(ch.Value) > loweredValueBytes {
+			r.t.Errorf("%s writes %d bytes into %s", n.Name, len(ch.Value), ch.Key)
+		}
+		// Keys of which the version in production knows nothing, and which it
+		// passes over.
+		if ch.Key == "mf/forms" {
+			if r.raised == 0 {
+				r.raised = w.Now
+			}
+			continue
+		}
+		if ch.Remove || r.raised != 0 || strings.HasPrefix(ch.Key, "mf/v/") {
+			continue
+		}
+		dir, fields := shape(ch.Key, ch.Value)
+		if r.known[dir] == nil {
+			r.t.Errorf("%s writes %s, which the version in production doesn't read", n.Name, ch.Key)
+		}
+		for _, f := range fields {
+			if !r.known[dir][f] {
+				r.t.Errorf("%s writes %s into %s before all controllers are changed over", n.Name, f, ch.Key)
+			}
+		}
+	}
+}
+
+// rollFaults are the troubles of a roll. turns are the times at which the
+// controllers are replaced.
+var rollFaults = []struct {
+	name     string
+	limitsAt time.Duration // 0: 100 s, after the roll
+	play     func(w *World, turns []time.Duration)
+}{
+	{name: "the leader ends for a moment", play: func(w *World, _ []time.Duration) {
+		w.At(50*second, func() { w.crashLeader(300 * time.Millisecond) })
+	}},
+	{name: "the state service is out", play: func(w *World, _ []time.Duration) { w.outage(55*second, 68*second) }},
+	{name: "the state service refuses the leader", play: func(w *World, _ []time.Duration) {
+		w.At(52*second, func() { w.refuseLeader(9 * second) })
+	}},
+	{name: "a zone is cut off", play: func(w *World, _ []time.Duration) {
+		w.At(54*second, func() { cutZone(w, "b", 12*second, "hold") })
+	}},
+	{name: "the leader ends at each step", play: func(w *World, turns []time.Duration) {
+		for _, at := range turns {
+			w.At(at-2*second, func() { w.crashLeader(time.Second) })
+			w.At(at+5*second, func() { w.crashLeader(time.Second) })
+		}
+	}},
+	{name: "the state service refuses a follower", play: func(w *World, turns []time.Duration) {
+		w.At(turns[0]+4*second, func() {
+			for _, n := range w.Nodes {
+				if n != w.Leader() {
+					w.Store.Refuse[n.Name] = true
+					w.After(25*second, func() { delete(w.Store.Refuse, n.Name) })
+					break
+				}
+			}
+		})
+	}},
+	{name: "the limits fall amid the roll", limitsAt: 57 * second, play: func(*World, []time.Duration) {}},
+	{name: "the state service is slow, answers are lost", play: func(w *World, _ []time.Duration) {
+		w.At(41*second, func() { w.Store.Slow, w.Store.Unanswered = 300*time.Millisecond, 0.2 })
+		w.At(90*second, func() { w.Store.Slow, w.Store.Unanswered = 0, 0 })
+	}},
+}
+
+// orders of replacing three controllers.
+var orders = [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}}
+
 // TestRoll rolls the controllers over from the former version to the present
-// one, in an order and with crashes that the seed chooses, under load and with
+// one, in each order, with crashes that the seed chooses, under load and with
 // troubles; then the state service lowers its limits. Users of gangs are told to
 // come back until the last controller has been changed over; until then all that
 // is stored has the former version's form.
 func TestRoll(t *testing.T) {
 	known := productionShapes(t)
-	for seed := uint64(1); seed <= uint64(max(4, 2**seeds)); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	mixes := map[string]bool{} // leader's version and how many others are old
+	var mu sync.Mutex
+	t.Cleanup(func() {
+		if !t.Failed() && len(mixes) < 6 {
+			t.Errorf("mixes of versions seen: %v, want the leader old or new beside none, one or two old ones", mixes)
+		}
+	})
+	for seed := uint64(0); seed < uint64(max(len(rollFaults), 2**seeds)); seed++ {
+		day := rollFaults[seed%uint64(len(rollFaults))]
+		t.Run(fmt.Sprint("seed ", seed, ", ", day.name), func(t *testing.T) {
 			t.Parallel()
-			opt := Defaults(seed)
-			opt.Config.Teams["tight"] = core.Team{Limit: sched.Resources{CPUs: 9}}
-			former := opt.Config
-			opt.Config.ValueBytes, opt.Config.TxnOps, opt.Config.StoreWrites = 2<<10, 4, 35
-			opt.Former = func(c *core.Config) {
-				c.ValueBytes, c.TxnOps, c.StoreWrites = former.ValueBytes, former.TxnOps, former.StoreWrites
-			}
-			rolled, raised, gangAt := time.Duration(0), time.Duration(0), time.Duration(0)
-			opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
-				switch e := e.(type) {
-				case core.StoreCall:
-					for _, ch := range e.Then {
-						if ch.Key == "mf/forms" {
-							if raised == 0 {
-								raised = w.Now
-							}
-							continue
-						}
-						if ch.Remove || w.Old[n.Name] || raised != 0 {
-							continue
-						}
-						dir, fields := shape(ch.Key, ch.Value)
-						for _, f := range fields {
-							if !known[dir][f] {
-								t.Errorf("%s writes %s into %s before all controllers are changed over", n.Name, f, ch.Key)
-							}
-						}
-					}
-				case core.Reply:
-					if st, ok := e.Body.(core.JobStatus); ok && e.Status == 201 && strings.HasPrefix(st.ID, "req-3") && gangAt == 0 {
-						gangAt = w.Now
-					}
-				}
-				return e
-			}
-			opt.Capacity = 20
+			watch := &rollWatch{t: t, known: known}
+			opt := rollOptions(seed)
+			opt.Tamper = watch.tamper
 			w := New(opt)
 			w.Users.Close = true
 			w.Cloud.Slow = 0.2
@@ -131,18 +231,20 @@
 			load(w, 130*second)
 			gangs(w, 130*second) // from the start: refused for now
 			watchLeaders(w)
-			order := w.Rnd.Perm(3)
+			watchMixes(w, func(mix string) {
+				mu.Lock()
+				mixes[mix] = true
+				mu.Unlock()
+			})
 			crash := func(at time.Duration, n *Node) {
 				w.At(at, func() { n.CrashFor(time.Duration(200+w.Rnd.IntN(3000)) * time.Millisecond) })
 			}
-			for i, k := range order {
+			var turns []time.Duration
+			for i, k := range orders[seed%uint64(len(orders))] {
 				n := w.Nodes[k]
 				at := time.Duration(40+12*i+w.Rnd.IntN(8)) * second
-				w.At(at, func() {
-					w.Old[n.Name] = false
-					n.CrashFor(3 * second)
-				})
-				rolled = at
+				w.replace(n, at)
+				turns = append(turns, at)
 				if w.Rnd.IntN(2) == 0 {
 					crash(at-time.Duration(3+w.Rnd.IntN(9))*second, n) // it comes back old
 				}
@@ -150,17 +252,12 @@
 					crash(at+time.Duration(5+w.Rnd.IntN(5))*second, n) // and new
 				}
 			}
-			switch seed % 4 {
-			case 0:
-				w.At(50*second, func() { w.crashLeader(300 * time.Millisecond) })
-			case 1:
-				w.outage(55*second, 68*second)
-			case 2:
-				w.At(52*second, func() { w.refuseLeader(9 * second) })
-			case 3:
-				w.At(54*second, func() { cutZone(w, "b", 12*second, "hold") })
-			}
-			w.At(100*second, func() { w.Store.MaxValue, w.Store.MaxOps, w.Store.MaxWrites = 2<<10, 4, 35 })
+			day.play(w, turns)
+			limitsAt := day.limitsAt
+			if limitsAt == 0 {
+				limitsAt = 100 * second
+			}
+			w.At(limitsAt, w.lowerLimits)
 			w.At(105*second, func() { // a page that a former leader wrote has to change
 				w.Cloud.Take("n-000003")
 				w.Cloud.Take("n-000020")
@@ -177,13 +274,14 @@
 			for _, b := range w.Check.Broken {
 				t.Error(b)
 			}
-			if raised <= rolled || raised > rolled+30*second {
-				t.Errorf("the last controller is changed over at %v, the cluster version was raised at %v", rolled, raised)
+			rolled := turns[len(turns)-1]
+			if watch.raised <= rolled || watch.raised > rolled+30*second {
+				t.Errorf("the last controller is changed over at %v, the cluster version was raised at %v", rolled, watch.raised)
 			}
-			if gangAt <= raised {
-				t.Errorf("a gang was accepted at %v, the cluster version was raised at %v", gangAt, raised)
+			if watch.gangAt <= watch.raised {
+				t.Errorf("a gang was accepted at %v, the cluster version was raised at %v", watch.gangAt, watch.raised)
 			}
-			if w.Store.Refused > 0 || w.Store.Refused429 > 0 {
+			if day.limitsAt == 0 && w.Store.Refused+w.Store.Refused429 > 0 {
 				t.Errorf("%d transactions beyond the lowered limits, %d beyond the rate", w.Store.Refused, w.Store.Refused429)
 			}
 			gangs := 0
@@ -198,3 +296,92 @@
 		})
 	}
 }
+
+// replace changes a controller over to the present version at a time.
+func (w *World) replace(n *Node, at time.Duration) {
+	w.At(at, func() {
+		w.Old[n.Name] = false
+		n.CrashFor(3 * second)
+	})
+}
+
+// watchMixes reports, all day, which version leads beside how many former ones.
+func watchMixes(w *World, seen func(mix string)) {
+	var look func()
+	look = func() {
+		if l := w.Leader(); l != nil {
+			others := 0
+			for _, n := range w.Nodes {
+				if n != l && n.Up() && n.old {
+					others++
+				}
+			}
+			seen(fmt.Sprintf("leader old: %v, others old: %d", l.old, others))
+		}
+		w.After(100*time.Millisecond, look)
+	}
+	look()
+}
+
+// TestRollWithOneAway: a controller that has been changed over and then can't be
+// reached for minutes doesn't keep gangs waiting. One that was changed back does,
+// whatever it had noted before, once a controller of the new version has led
+// within its reach.
+func TestRollWithOneAway(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// play keeps the first controller from the others from some time after its
+		// replacement until 200 s; the last one is replaced at 80 s.
+		play  func(w *World, n *Node)
+		taken bool // gangs, before it is back
+	}{
+		{"cut from the other controllers", func(w *World, n *Node) {
+			w.At(46*second, func() { cutPeers(w, n, 154*second) })
+			w.replace(w.Nodes[1], 65*second)
+		}, true},
+		{"ended", func(w *World, n *Node) {
+			w.At(50*second, func() { n.CrashFor(150 * second) })
+			w.replace(w.Nodes[1], 65*second)
+		}, true},
+		{"changed back, heard of, and cut off", func(w *World, n *Node) {
+			w.replace(w.Nodes[1], 50*second)
+			w.At(58*second, func() { w.Nodes[2].CrashFor(14 * second) })
+			w.At(60*second, func() { w.Old[n.Name] = true; n.CrashFor(second) })
+			w.At(70*second, func() { cutPeers(w, n, 130*second) })
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= uint64(max(2, *seeds/2)); seed++ {
+				watch := &rollWatch{t: t, known: productionShapes(t)}
+				opt := rollOptions(seed)
+				opt.Tamper = watch.tamper
+				w := New(opt)
+				load(w, 130*second)
+				gangs(w, 130*second)
+				watchLeaders(w)
+				w.replace(w.Nodes[0], 40*second)
+				c.play(w, w.Nodes[0])
+				w.replace(w.Nodes[2], 80*second)
+				w.Run(200 * second)
+				if taken := watch.gangAt != 0 && watch.gangAt < 110*second; taken != c.taken {
+					t.Errorf("seed %d: the first gang was accepted at %v, the cluster version raised at %v", seed, watch.gangAt, watch.raised)
+				}
+				w.Run(250 * second)
+				for _, b := range w.Check.Broken {
+					t.Errorf("seed %d: %s", seed, b)
+				}
+			}
+		})
+	}
+}
+
+// cutPeers cuts a controller from the others, not from anything else.
+func cutPeers(w *World, n *Node, d time.Duration) {
+	for _, o := range w.Nodes {
+		if o != n {
+			w.Cut(n.Name, o.Name, "drop")
+			w.After(d, func() { w.Heal(n.Name, o.Name) })
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -229,6 +229,7 @@
 	req   uint64
 	Boots int
 	still *pause  // stands still
+	old   bool    // runs the former version
 	skew  float64 // of the steady clock
 	wall  float64 // of the time of day, in parts of its bound
 }
@@ -250,7 +251,8 @@
 			cfg.Peers = append(cfg.Peers, o.Name)
 		}
 	}
-	if n.w.Old[n.Name] {
+	n.old = n.w.Old[n.Name]
+	if n.old {
 		cfg.Version = 0
 		n.w.Opt.Former(&cfg)
 	}
