Refuse gang times that make no sense; take unknown words in reports; split config

gang_wait_s and gang_peer_s go together: one alone, below 0, or out of proportion to report and lease is refused at the start in one line; so are limits of state.next with which the service can't work. A report with an unknown reason no longer unbinds its task: the machine is asked to forget it, and the task waits again once it isn't shown. A machine of an unknown type that reported a running task ended the process, found by the new test.

The operators' bounds are told in one form (two expected messages changed with it).

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -55,10 +55,20 @@
 		{`"ram_mb": 100`, `"ram_mb": 16`, "", "facts.quota.ram_mb: 16: at least 24 are needed"},
 		{`"core_share": 0.2`, `"core_share": 0`, "", "facts.quota.core_share: 0 is not above 0"},
 		{`"name": "t"`, `"name": ""`, "", "facts.teams[0].name: missing"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_wait_s": 40`, "", "facts.workers.gang_peer_s: missing beside gang_wait_s"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_peer_s": 5`, "", "facts.workers.gang_wait_s: missing beside gang_peer_s"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_wait_s": -1, "gang_peer_s": 5`, "", "facts.workers.gang_wait_s: -1 is below 0"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_wait_s": 5, "gang_peer_s": 5`, "", "facts.workers.gang_wait_s: 5 is less than two reports"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_wait_s": 3000, "gang_peer_s": 5`, "", "facts.workers.gang_wait_s: 3000 is more than 100 leases"},
+		{`"cancel_s": 30`, `"cancel_s": 30, "gang_wait_s": 40, "gang_peer_s": 21`, "", "facts.workers.gang_peer_s: 21 is longer than lease_s"},
+		{`"txn_ops": 24`, `"txn_ops": 24, "next": {"value_kb": 1}`, "", "facts.state.next.value_kb: 1: at least 2 are needed"},
+		{`"txn_ops": 24`, `"txn_ops": 24, "next": {"txn_ops": 1}`, "", "facts.state.next.txn_ops: 1: at least 2 are needed"},
+		{`"txn_ops": 24`, `"txn_ops": 24, "next": {"write_rps": -1}`, "", "facts.state.next.write_rps: -1 is below 0"},
 		{`{`, ``, "", "not valid JSON"},
-		{``, ``, "dispatch {\n skip_limit = -1\n}\n", "o.hcl: dispatch.skip_limit: -1 is below 0"},
+		{``, ``, "fleet {\n patience = 2\n}\n", "o.hcl: fleet.patience: 2 is not within 0 and 1"},
+		{``, ``, "dispatch {\n skip_limit = -1\n}\n", "o.hcl: dispatch.skip_limit: -1 is not within 0 and 1000000"},
 		{``, ``, "fleet {\n idle = 1\n}\n", "o.hcl:2: Unsupported argument"},
-		{``, ``, "state {\n write_every_s = 0\n}\n", "state.write_every_s: 0 is not above 0"},
+		{``, ``, "state {\n write_every_s = 0\n}\n", "state.write_every_s: 0 is not within 0.001 and 60"},
 	}
 	for _, c := range cases {
 		op := ""
--- /dev/null
+++ b/internal/config/core.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"mulleinfall/internal/core"
+	"mulleinfall/internal/sched"
+)
+
+// Core is the part of the settings that the core needs. Boot differs between
+// lives of the process.
+func (s *Settings) Core(boot uint64) core.Config {
+	p := &s.Params
+	c := core.Config{
+		Self: s.Name, Boot: boot, Teams: map[string]core.Team{},
+		ReportEvery: seconds(p.Workers.ReportS), Lease: seconds(p.Workers.LeaseS), CancelIn: seconds(p.Workers.CancelS),
+		Skew:     seconds(p.SkewMS / 1000),
+		StoreRPS: p.State.RPS, StoreWrites: p.State.WriteRPS,
+		ValueBytes: int(p.State.ValueKB * 1024), TxnOps: p.State.TxnOps,
+		GangWait: seconds(p.Workers.GangWaitS), GangPeer: seconds(p.Workers.GangPeerS),
+		Version:  core.NewestVersion,
+		CloudRPS: p.Cloud.RPS, ListLag: seconds(p.Cloud.ListLagS),
+		Directs: s.Sockets().Direct, Requests: s.Sockets().Public,
+		Tuning: s.Tuning, Goals: map[string]core.Goal{},
+	}
+	s.keepToNextLimits(&c)
+	s.addGoals(&c)
+	for _, o := range s.Peers {
+		c.Peers = append(c.Peers, o.Name)
+	}
+	for _, t := range p.Teams {
+		c.Teams[t.Name] = core.Team{
+			Guaranteed: sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs},
+			Limit:      sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax},
+		}
+	}
+	return c
+}
+
+// keepToNextLimits takes the smaller of the state service's limits now and later
+// from the start: the change comes without notice, and a value that was too large
+// by then could not be written.
+func (s *Settings) keepToNextLimits(c *core.Config) {
+	next := &s.Params.State.Next
+	if next.WriteRPS > 0 {
+		c.StoreWrites = min(c.StoreWrites, next.WriteRPS)
+	}
+	if next.ValueKB > 0 {
+		c.ValueBytes = min(c.ValueBytes, int(next.ValueKB*1024))
+	}
+	if next.TxnOps > 0 {
+		c.TxnOps = min(c.TxnOps, next.TxnOps)
+	}
+}
+
+// addGoals takes what is expected of each class of jobs: the most demanding of
+// each kind of aim.
+func (s *Settings) addGoals(c *core.Config) {
+	for _, o := range s.Params.Objectives {
+		g := c.Goals[o.Class]
+		within := seconds(o.WithinS)
+		switch {
+		case o.Kind == "wait" && within > 0:
+			g.Start = within
+		case o.Kind == "finished" && within > 0 && (g.Finish == 0 || within < g.Finish):
+			g.Finish = within
+		case o.Kind == "deadline" && o.Times > 0 && (g.Due == 0 || o.Times < g.Due):
+			g.Due = o.Times
+		}
+		c.Goals[o.Class] = g
+	}
+}
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -138,3 +138,39 @@
 		}
 	})
 }
+
+// TestUnknownWords: a state or reason that nobody knows, of a machine whose type
+// nobody knows, ends no process; it neither unbinds a task
+// nor keeps it for ever: the machine is asked to forget what has exited, and the
+// task waits again once the machine no longer shows it.
+func TestUnknownWords(t *testing.T) {
+	s, j, m := leading(t)
+	x := &task{job: j, index: 0, name: "req-000001/0", attempt: 9, m: m, session: 1, issued: true}
+	s.bind(x)
+	seq := uint64(10)
+	report := func(tasks ...model.TaskReport) []model.Order {
+		seq++
+		r := &model.Report{Host: "n-1", Session: 1, Seq: seq, Epoch: s.epochBase(), Tasks: tasks}
+		s.report(m, r, true)
+		return s.orders(m, r)
+	}
+	for _, r := range []model.TaskReport{
+		{Task: x.name, Attempt: 9, State: "pondering"},
+		{Task: x.name, Attempt: 9, State: model.TaskRunning, Cause: "whim"},
+		{Task: x.name, Attempt: 9},
+	} {
+		if orders := report(r); j.tasks[0] != x || len(orders) != 0 {
+			t.Errorf("%+v: bound: %v, orders %v", r, j.tasks[0] == x, orders)
+		}
+	}
+	orders := report(model.TaskReport{Task: x.name, Attempt: 9, State: model.TaskExited, Cause: "whim"})
+	if j.tasks[0] != x {
+		t.Error("unbound by a reason that nobody knows")
+	}
+	if len(orders) != 1 || orders[0].Verb != model.Forget {
+		t.Errorf("orders %v, want to forget it", orders)
+	}
+	if report(); j.tasks[0] != nil || j.waiting() != 3 {
+		t.Errorf("no longer shown: bound: %v, %d tasks wait", j.tasks[0] != nil, j.waiting())
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -77,6 +77,9 @@
 	if m == nil {
 		m = &machine{host: host, tasks: map[string]*task{}, strangers: map[string]model.TaskReport{}, hiredAt: s.now, idleSince: s.now}
 		m.view.ID, m.view.Ref = host, m
+		// A machine of a type that isn't known yet may report running tasks: without
+		// a cache such a report ended the process.
+		m.view.Images = &sched.Cache{}
 		m.stale = true
 		s.machines[host] = m
 		at, _ := s.place(host)
@@ -115,9 +118,6 @@
 		if spot {
 			m.view.Price = t.SpotPrice
 		}
-		if m.view.Images == nil {
-			m.view.Images = &sched.Cache{}
-		}
 		m.view.Images.Size = t.CacheGB
 	}
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -346,6 +346,12 @@
 	if p.State != model.TaskExited {
 		return
 	}
+	if !model.KnownCause(p.Cause) {
+		// Its end is not taken from a word that nobody knows. The machine is asked
+		// to forget it: once it no longer shows the task, that is gone.
+		s.log(slog.LevelError, "task exited with an unknown reason", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+		return
+	}
 	s.unbind(t, p.Cause)
 	switch p.Cause {
 	case model.CauseDone:
@@ -398,7 +404,7 @@
 		if p.State == model.TaskExited {
 			id, i, _ := model.SplitTask(p.Task)
 			j := s.jobs[id]
-			if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt {
+			if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt && model.KnownCause(p.Cause) {
 				continue
 			}
 			if mayForget && (p.Cause != model.CauseDone || j == nil || i >= j.Tasks || j.durable(i)) {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -134,6 +134,15 @@
 	CauseAlone   = "alone" // of a gang: it was not complete in time
 )
 
+// KnownCause says whether cause is one of the reasons for which a task exits.
+func KnownCause(cause string) bool {
+	switch cause {
+	case CauseDone, CauseStopped, CauseError, CauseNoRoom, CauseBusy, CauseUnknown, CausePeers, CauseAlone:
+		return true
+	}
+	return false
+}
+
 // TaskReport is one task in a worker's report.
 type TaskReport struct {
 	Task    string `json:"piece"`
