--- a/internal/standin/gang_faults_test.go
+++ b/internal/standin/gang_faults_test.go
@@ -60,39 +60,17 @@
 	return list
 }
 
-// refusedReplacement: the first of two spare machines that is sent a
-// replacement refuses it.
+// refusedReplacement: the first machine that is sent a replacement refuses it.
 func refusedReplacement(cause string) func(w *World) {
 	return func(w *World) {
 		w.Cloud.Rent("small", "b", false, 4)
-		w.loseOneGathering(func() {
-			spares := w.spares()
-			for _, wk := range spares {
-				wk.Refusing = cause
-			}
-			w.when(w.Now, func() bool { return w.refusals() > 0 }, func() {
-				for _, wk := range spares {
-					if wk.refused == 0 {
-						wk.Refusing = ""
-					}
-				}
-			})
-		})
+		w.loseOneGathering(func() { w.RefuseNext = cause })
 	}
 }
 
-// refusals counts the starts that machines have refused.
-func (w *World) refusals() int {
-	n := 0
-	for _, wk := range w.Workers {
-		n += wk.refused
-	}
-	return n
-}
-
 // refused checks that there was a refusal to deal with.
 func refused(t *testing.T, w *World) {
-	if w.refusals() == 0 {
+	if w.Refusals == 0 {
 		t.Error("no replacement was refused")
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,9 +20,6 @@
 	Mute bool
 	// Unanswered: commands reach it, but answers to its reports don't.
 	Unanswered bool
-	// Refusing is the reason for which it refuses every start; "": it doesn't.
-	Refusing string
-	refused  int
 
 	recallAt time.Duration // when the cloud takes the machine, as it has told; 0: not
 
@@ -324,9 +321,10 @@
 			switch {
 			case r != nil && r.state != model.TaskExited:
 				continue // in use: the running attempt stays on the list
-			case wk.Refusing != "":
-				n.state, n.cause = model.TaskExited, wk.Refusing
-				wk.refused++
+			case wk.w.RefuseNext != "":
+				n.state, n.cause = model.TaskExited, wk.w.RefuseNext
+				wk.w.RefuseNext = ""
+				wk.w.Refusals++
 			case t == nil:
 				n.state, n.cause = model.TaskExited, model.CauseUnknown
 			case wk.fits(t) == 0:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -61,6 +61,11 @@
 	// gets the second answer.
 	Repeats float64
 
+	// RefuseNext is the reason for which the next start is refused, by whichever
+	// machine; "": it isn't. Refusals counts them.
+	RefuseNext string
+	Refusals   int
+
 	// ForNext is the part of the workers' reports of which a copy is kept and
 	// reaches every controller just as the next leader begins.
 	ForNext float64
