--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -107,7 +107,7 @@
 		if n.Crowded() {
 			w.Header().Set("Connection", "close")
 		}
-		ask(refusals{w}, n, beatWait, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} })
+		ask(refusals{w}, n, beatWait, func(req uint64) core.Event { return core.ReportIn{Req: req, Report: rep} })
 	})
 	mux.HandleFunc("/up", func(w http.ResponseWriter, r *http.Request) {
 		if !method(w, r, http.MethodGet) {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -121,7 +121,7 @@
 // bounded part of the memory; whoever finds none left is told to come back at
 // once, and short requests are served all the same.
 func TestLongBodiesShareTheRoom(t *testing.T) {
-	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{}}, ok: true}
+	f := &fake{reply: core.Reply{Status: 200, Body: core.ReportReply{}}, ok: true}
 	h := Handler(f, 20<<10)
 	beat := func(body io.Reader, length int64) *httptest.ResponseRecorder {
 		w, r := httptest.NewRecorder(), httptest.NewRequest("POST", "/agent/beat", body)
@@ -157,7 +157,7 @@
 // TestReportAllocations: what a report allocates on its way in and out stays
 // bounded, and grows by the tasks that it lists and nothing else.
 func TestReportAllocations(t *testing.T) {
-	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 5, Orders: []model.Order{}}}, ok: true}
+	f := &fake{reply: core.Reply{Status: 200, Body: core.ReportReply{Epoch: 5, Orders: []model.Order{}}}, ok: true}
 	h := Handler(f, 1<<20)
 	cost := func(tasks int) float64 {
 		var list []string
@@ -184,14 +184,14 @@
 // TestLateAnswerIsHeldBack: an answer that waited for the processor past the
 // leader's entitlement must not renew a worker's lease.
 func TestLateAnswerIsHeldBack(t *testing.T) {
-	f := &fake{reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 5}, Until: time.Second}, ok: true, now: time.Second}
+	f := &fake{reply: core.Reply{Status: 200, Body: core.ReportReply{Epoch: 5}, Until: time.Second}, ok: true, now: time.Second}
 	if w := serve(f, "POST", "/agent/beat", `{"host":"n-1"}`); w.Code != 503 {
 		t.Errorf("got %d after the entitlement ended", w.Code)
 	}
 }
 
 func TestBeatAndOrdersOnTheWire(t *testing.T) {
-	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.BeatReply{Epoch: 41, Orders: []model.Order{
+	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.ReportReply{Epoch: 41, Orders: []model.Order{
 		{Verb: model.Start, Task: "req-000412/4", Attempt: 2},
 		{Verb: model.Kill, Task: "req-000377/1", Attempt: 1, Grace: new(float64)},
 	}}}}
@@ -207,7 +207,7 @@
 			t.Errorf("report lost %s: %s", part, got)
 		}
 	}
-	if f.last.(core.Beat).Report.Seq != 88 || http.StatusOK != w.Code {
+	if f.last.(core.ReportIn).Report.Seq != 88 || http.StatusOK != w.Code {
 		t.Error(fmt.Sprint(f.last))
 	}
 }
@@ -224,7 +224,7 @@
 	}
 	// With few sockets left a worker connects anew for each report; a user
 	// keeps the connection.
-	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.BeatReply{}}, full: true}
+	f := &fake{ok: true, reply: core.Reply{Status: 200, Body: core.ReportReply{}}, full: true}
 	if w := serve(f, "POST", "/agent/beat", `{"host":"n-1"}`); w.Code != 200 || w.Header().Get("Connection") != "close" {
 		t.Errorf("few sockets left: a worker is answered %d and keeps its connection", w.Code)
 	}
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -47,8 +47,8 @@
 // hasRead notes that this copy is complete as of sent.
 func (s *State) hasRead(sent time.Duration) {
 	s.readAt = max(s.readAt, sent)
-	if s.tenure != nil {
-		s.tenure.Read(sent)
+	if s.leadership != nil {
+		s.leadership.Read(sent)
 	}
 }
 
@@ -66,11 +66,11 @@
 // asked to confirm cancellations, and the leader had better go. Both measures
 // are well above what passes between two reads on an ordinary day: leased then,
 // cancellations would wait for a leader that has just ended.
-func (s *State) leaseRead(claim PeerMsg, reply *PeerMsg) {
-	if !claim.Read || s.storeAge() < s.ecf.Staleness/8 || len(s.unshared) > mostUnshared {
+func (s *State) leaseRead(requestVotes PeerMsg, reply *PeerMsg) {
+	if !requestVotes.Read || s.storeAge() < s.ecf.Staleness/8 || len(s.unshared) > mostUnshared {
 		return
 	}
-	s.voter.GrantRead(s.now, claim.Term)
+	s.voter.GrantRead(s.now, requestVotes.Term)
 	reply.Read, reply.Loaded, reply.Age, reply.Counts = true, s.loaded, s.now-s.born, s.cancelled()
 }
 
@@ -90,7 +90,7 @@
 	}
 	s.learn(from, m.Counts)
 	age := m.Age - time.Duration(float64(m.Age)*2*Drift)
-	s.tenure.LeasedRead(from, m.Sent, s.now-age, m.Loaded)
+	s.leadership.LeasedRead(from, m.Sent, s.now-age, m.Loaded)
 }
 
 // learn takes cancellations from another controller. They are durable, and a
@@ -100,7 +100,7 @@
 		s.apply(Item{Key: dirJobs + id, Value: raw(jobValue{Phase: model.PhaseAborted}), Stamp: uint64(list[id])})
 	}
 	if len(list) > 0 && s.Leading() {
-		s.emit(PeerOut{from, PeerMsg{Kind: MsgKnown, Term: s.tenure.Term, Counts: list}})
+		s.emit(PeerOut{from, PeerMsg{Kind: MsgKnown, Term: s.leadership.Term, Counts: list}})
 	}
 }
 
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -24,9 +24,9 @@
 	zoneBack  map[string]time.Duration // when one was last heard of again
 	limitTold bool                     // that the operators' limit on machines was reached
 	// inReach is how many machines there are outside the zones that are cut off,
-	// unseenNow how many of them have still to show their tasks.
-	inReach   int
-	unseenNow int
+	// unaccountedNow how many of them have still to show their tasks.
+	inReach        int
+	unaccountedNow int
 }
 
 func (s *State) startFleet() {
@@ -118,12 +118,12 @@
 
 func (s *State) list(after string) {
 	s.listing = true
-	tenure := s.tenure
+	leadership := s.leadership
 	for _, host := range ordered(s.returned) {
 		s.recentlyReturned(host) // forgets those of long ago
 	}
 	ok := s.cloud(CloudCall{Op: CloudList, After: after, Limit: 500}, func(d CloudDone) {
-		if s.tenure != tenure {
+		if s.leadership != leadership {
 			return
 		}
 		s.listing = false
@@ -157,7 +157,7 @@
 		}
 		m = s.machine(l.Host)
 		m.standing = s.foundFirst()
-		m.hiredAt = s.now - age
+		m.rentedAt = s.now - age
 		s.describe(m, l.Endpoint, l.Type, l.Zone, l.Spot)
 		return
 	}
@@ -166,8 +166,8 @@
 	}
 	// A new leader doesn't know when it was rented: counted from the election,
 	// its minimum charge kept it for a minute with nothing to do.
-	m.hiredAt = min(m.hiredAt, s.now-age)
-	if l.State == "failed" && s.now-m.lastBeat > s.cfg.Lease/2 {
+	m.rentedAt = min(m.rentedAt, s.now-age)
+	if l.State == "failed" && s.now-m.lastReplyAt > s.cfg.Lease/2 {
 		m.dead = true
 	}
 }
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -59,7 +59,7 @@
 			s.flush(m)
 			continue
 		}
-		if !s.mayProbe() || m.quiet != 0 && s.directs >= s.cfg.Directs/4 {
+		if !s.mayProbe() || m.silentSince != 0 && s.directs >= s.cfg.Directs/4 {
 			continue // a zone that is cut off must not take all the turns
 		}
 		if !m.adopted {
@@ -70,7 +70,7 @@
 			}
 			continue
 		}
-		if s.now-m.heard > 2*s.cfg.ReportEvery || m.mute.is && m.seen < m.mute.epoch {
+		if s.now-m.heard > 2*s.cfg.ReportEvery || m.reach.lost && m.seen < m.reach.epoch {
 			s.command(m, nil, nil) // is it there at all?
 		}
 	}
@@ -107,20 +107,20 @@
 }
 
 func (s *State) command(m *machine, orders []model.Order, starts []*task) {
-	epoch, tenure := s.epoch(m), s.tenure
+	epoch, leadership := s.epoch(m), s.leadership
 	session, seq, sent := m.session, m.seq, s.now
 	m.direct = true
 	s.directs++
 	for _, t := range starts {
 		t.issued, t.directEpoch = true, epoch
 	}
-	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: tenure.Until()}
+	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: leadership.Until()}
 	if c.Orders == nil {
 		c.Orders = []model.Order{}
 	}
 	c.Call = s.call(func(res any) {
 		d := res.(AgentDone)
-		if s.tenure != tenure {
+		if s.leadership != leadership {
 			return
 		}
 		s.directs--
@@ -140,7 +140,7 @@
 			m.directAt = s.now + s.cfg.Lease/8
 			m.askedInVain = true
 			if m.heard > sent {
-				s.unreachable(m) // it reports meanwhile, so it is there
+				s.countMissedDelivery(m) // it reports meanwhile, so it is there
 			}
 			return
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,10 +23,10 @@
 	}, 0)
 }
 
-// newTenure makes s, which has no peers, the leader of term 4 until further notice.
-func newTenure(s *State) *election.Tenure {
+// newLeadership makes s, which has no peers, the leader of term 4 until further notice.
+func newLeadership(s *State) *election.Leadership {
 	s.term, s.termStamp, s.electedAt = 4, 4, 1
-	t := election.NewTenure(s.ecf, 0, 4, 0)
+	t := election.NewLeadership(s.ecf, 0, 4, 0)
 	t.Promised(0, "n0", 0)
 	t.Elected(0, 0)
 	t.Renewed(0, time.Hour)
@@ -124,7 +124,7 @@
 func TestUnreachedNodeLetsOthersGoFirst(t *testing.T) {
 	claims := func(s *State, at time.Duration) bool {
 		for _, e := range s.Step(at, Tick{}) {
-			if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgClaim {
+			if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgVoteRequest {
 				return true
 			}
 		}
@@ -147,7 +147,7 @@
 		t.Error("it does not run though nobody else has for a quarter of the lease")
 	}
 	s = fresh()
-	s.Step(20*time.Second, Beat{Req: 1})
+	s.Step(20*time.Second, ReportIn{Req: 1})
 	if !claims(s, 20*time.Second+time.Second) {
 		t.Error("a worker has come, and it does not run")
 	}
@@ -159,14 +159,14 @@
 func TestWhoOverranLetsOthersGoFirst(t *testing.T) {
 	cfg := alone().cfg
 	cfg.Peers = []string{"n1", "n2"}
-	runs := func(overran time.Duration) time.Duration {
+	runs := func(entitlementLostAt time.Duration) time.Duration {
 		s := New(cfg, 0)
-		s.loaded, s.hasTouch, s.overran = true, true, overran
+		s.loaded, s.hasTouch, s.entitlementLostAt = true, true, entitlementLostAt
 		s.leaderGone = 20 * time.Second
 		for at := s.leaderGone; at < 30*time.Second; at += 50 * time.Millisecond {
 			s.contact = at
 			for _, e := range s.Step(at, Tick{}) {
-				if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgClaim {
+				if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgVoteRequest {
 					return at - s.leaderGone
 				}
 			}
@@ -196,11 +196,11 @@
 		s := New(cfg, 0)
 		s.loaded, s.hasTouch = true, true
 		s.term, s.termStamp, s.termNode = 4, 40, holder
-		s.nextBid = time.Hour
+		s.campaignAt = time.Hour
 		return s
 	}
 	granted := func(s *State, stamp uint64) bool {
-		out := s.Step(100*time.Millisecond, PeerIn{From: "n1", Msg: PeerMsg{Kind: MsgClaim, Term: 5, Stamp: stamp, StoreOK: true}})
+		out := s.Step(100*time.Millisecond, PeerIn{From: "n1", Msg: PeerMsg{Kind: MsgVoteRequest, Term: 5, Stamp: stamp, StoreOK: true}})
 		for _, e := range out {
 			if p, ok := e.(PeerOut); ok && p.Msg.Kind == MsgPromise {
 				return p.Msg.Granted
@@ -260,21 +260,21 @@
 
 	s := New(cfg, 0)
 	s.voter.Wake()
-	s.tenure = election.NewTenure(s.ecf, time.Second, 5, 0)
-	s.nextBid = time.Hour
+	s.leadership = election.NewLeadership(s.ecf, time.Second, 5, 0)
+	s.campaignAt = time.Hour
 	s.Step(time.Second, from("n1", PeerMsg{Kind: MsgPromise, Ask: 6, Term: 5, Sent: 5 * time.Minute, Granted: true}))
-	if s.tenure.Supported(time.Second) {
+	if s.leadership.Supported(time.Second) {
 		t.Error("a promise to an earlier life is counted")
 	}
 	s.Step(time.Second, from("n1", PeerMsg{Kind: MsgPromise, Ask: 7, Term: 5, Sent: time.Second, Granted: true}))
-	if !s.tenure.Supported(time.Second) {
+	if !s.leadership.Supported(time.Second) {
 		t.Error("a promise to this life is not counted")
 	}
 
 	s = New(cfg, 0)
 	s.voter.Wake()
-	s.nextBid = time.Hour
-	s.Step(time.Second, from("n1", PeerMsg{Kind: MsgClaim, Ask: 21, Term: 5, StoreOK: true}))
+	s.campaignAt = time.Hour
+	s.Step(time.Second, from("n1", PeerMsg{Kind: MsgVoteRequest, Ask: 21, Term: 5, StoreOK: true}))
 	s.Step(time.Second, from("n1", PeerMsg{Kind: MsgRelease, Ask: 20, Term: 5}))
 	if _, bound := s.voter.Bound(time.Second); !bound {
 		t.Error("the end of an earlier life's candidacy frees the promise to this one")
@@ -319,13 +319,13 @@
 		cfg := alone().cfg
 		cfg.ReportEvery, cfg.Lease, cfg.Skew = c.report, 6*c.report, time.Second
 		s := New(cfg, 0)
-		s.tenure, s.pages = election.NewTenure(s.ecf, 0, 1, 0), map[int]*page{}
+		s.leadership, s.pages = election.NewLeadership(s.ecf, 0, 1, 0), map[int]*page{}
 		m := s.machine("n-000001")
 		m.page, m.rostered = 1, true
 		marked := func(at time.Duration) bool {
-			s.now, s.quietAt = at, 0
-			s.markQuiet()
-			return m.quiet != 0
+			s.now, s.silenceAt = at, 0
+			s.recordSilence()
+			return m.silentSince != 0
 		}
 		if marked(c.want - time.Millisecond) {
 			t.Errorf("reports every %v: marked before %v of silence", c.report, c.want)
@@ -371,12 +371,12 @@
 	for _, status := range []int{0, 409, 503} {
 		s := alone()
 		s.loaded, s.hasTouch = true, true
-		s.tenure = election.NewTenure(s.ecf, 0, 4, 0)
-		s.term, s.termStamp, s.grant, s.electedAt, s.ready = 4, 40, 7, 1, true
-		s.tenure.Promised(0, "n0", 0)
-		s.tenure.Elected(0, 0)
-		s.tenure.KeyLost()
-		s.remakeKey()
+		s.leadership = election.NewLeadership(s.ecf, 0, 4, 0)
+		s.term, s.termStamp, s.leaseID, s.electedAt, s.ready = 4, 40, 7, 1, true
+		s.leadership.Promised(0, "n0", 0)
+		s.leadership.Elected(0, 0)
+		s.leadership.KeyLost()
+		s.recreateKey()
 		answer := func(op StoreOp, d StoreDone) {
 			t.Helper()
 			c, ok := storeCall(s.out, op)
@@ -387,13 +387,13 @@
 			s.out = nil
 			s.done(c.Call, d)
 		}
-		answer(StoreGrant, StoreDone{Status: 200, Lease: 9})
+		answer(StoreLease, StoreDone{Status: 200, Lease: 9})
 		answer(StoreTxn, StoreDone{Status: status})
-		s.touch()
-		if c, _ := storeCall(s.out, StoreTouch); c.Lease != 7 {
+		s.renewKey()
+		if c, _ := storeCall(s.out, StoreRenew); c.Lease != 7 {
 			t.Errorf("status %d: lease %d is kept up, though no key hangs on it", status, c.Lease)
 		}
-		if s.tenure.KeyUntil() != 0 {
+		if s.leadership.KeyUntil() != 0 {
 			t.Errorf("status %d: the key counts though it isn't set", status)
 		}
 	}
@@ -431,10 +431,10 @@
 		s.now, s.electedAt = at(c.now), at(c.elected)
 		j := &job{Job: model.Job{ID: "req-000001"}, phase: model.PhaseAborted, overAt: at(c.seen)}
 		s.jobs[j.ID] = j
-		bound, odd := s.machine("n-1"), s.machine("n-2")
+		bound, orphaned := s.machine("n-1"), s.machine("n-2")
 		bound.tasks["req-000001/0"] = &task{job: j}
-		odd.strangers["req-000001/1"] = model.TaskReport{Task: "req-000001/1"}
-		for _, m := range []*machine{bound, odd} {
+		orphaned.orphans["req-000001/1"] = model.TaskReport{Task: "req-000001/1"}
+		for _, m := range []*machine{bound, orphaned} {
 			if got := s.overdue(m); got != c.want {
 				t.Errorf("%s, seen at %v, elected at %v, now %v: given up: %v, want %v", m.host, c.seen, c.elected, c.now, got, c.want)
 			}
@@ -448,7 +448,7 @@
 func TestGangAttempts(t *testing.T) {
 	s := alone()
 	s.loaded, s.hasTouch, s.ready = true, true, true
-	s.tenure, s.teams = newTenure(s), map[string]sched.Resources{}
+	s.leadership, s.teams = newLeadership(s), map[string]sched.Resources{}
 	s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Team: "t", Tasks: 3, Kind: model.Gang}}), Stamp: 5})
 	j := s.jobs["req-000001"]
 	shows := func(host string, index int, attempt uint64, state, cause string) *machine {
@@ -485,7 +485,7 @@
 	m := s.machine("n-1")
 	s.describe(m, "e", "small", "a", false)
 	s.now, s.electedAt = 100*time.Second, 90*time.Second
-	m.hiredAt, m.idleSince = s.electedAt, s.electedAt
+	m.rentedAt, m.idleSince = s.electedAt, s.electedAt
 	if s.idleEnough(m) {
 		t.Error("given back before it is known that its minimum charge is used up")
 	}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -18,8 +18,8 @@
 	return false
 }
 
-// ripe says whether tasks of j may start now.
-func (s *State) ripe(j *job) bool {
+// schedulable says whether tasks of j may start now.
+func (s *State) schedulable(j *job) bool {
 	if s.now < j.retryAt {
 		return false
 	}
@@ -29,7 +29,7 @@
 	// A task of an older job that no machine has shown may still be
 	// somewhere, until every machine of the roster that may have been given
 	// it is accounted for.
-	for _, m := range s.unseen {
+	for _, m := range s.unaccountedFor {
 		if s.unaccounted(m) && j.AllowsType(m.typeName) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot) {
 			return false
 		}
@@ -51,7 +51,7 @@
 	// A round that took long is followed by as much time for everything else:
 	// reports and renewals must not starve behind decisions.
 	s.nextRound = s.now + env.elapsed() + max(s.cfg.ReportEvery/roundsPerReport, env.elapsed())
-	s.answerBeats()
+	s.answerReports()
 	for _, m := range env.touched {
 		if s.directs >= s.cfg.Directs {
 			break // the rest with the next reports and ticks: sockets are few
@@ -120,10 +120,10 @@
 // arrival.
 func (s *State) queueView() []*job {
 	if !s.settled {
-		s.unseen = s.unseen[:0]
+		s.unaccountedFor = s.unaccountedFor[:0]
 		for _, m := range s.order {
 			if s.unaccounted(m) {
-				s.unseen = append(s.unseen, m)
+				s.unaccountedFor = append(s.unaccountedFor, m)
 			}
 		}
 	}
@@ -133,7 +133,7 @@
 			j.entry.Waiting = 0
 		}
 		n := j.waiting()
-		if n == 0 || !s.ripe(j) || j.Kind == model.Gang && !s.gangReady(j) {
+		if n == 0 || !s.schedulable(j) || j.Kind == model.Gang && !s.gangReady(j) {
 			continue
 		}
 		if j.entry == nil {
--- a/internal/core/eviction.go
+++ b/internal/core/eviction.go
@@ -179,11 +179,11 @@
 func (e *eviction) commit(c candidate, env *roundEnv) {
 	s := e.s
 	for _, t := range c.victims {
-		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", c.m.host, "for", e.job.ID, "term", s.tenure.Term)
+		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", c.m.host, "for", e.job.ID, "term", s.leadership.Term)
 		s.kill(t, 0)
 	}
 	c.m.keptFor, c.m.draining, c.m.keptUntil = e.job, false, s.now+s.cfg.Lease/2
-	env.touch(c.m)
+	env.markTouched(c.m)
 }
 
 // loss is the work in CPU seconds that stopping t at once throws away.
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -16,9 +16,9 @@
 	began   bool          // its tasks run, or ran: no other may take a lost one's place
 	since   time.Duration // when one of them was first seen to wait for the others; 0: none
 	broken  bool          // it is being ended; the next attempt begins when all of it are gone
-	// shunned are the machines on which a task of this attempt has ended: they
+	// excluded are the machines on which a task of this attempt has ended: they
 	// would take another start of it for a repeat.
-	shunned map[string]bool
+	excluded map[string]bool
 }
 
 // gangReady says whether tasks of j may be placed now: all of them, or those
@@ -39,10 +39,10 @@
 	return j.gang.since == 0 || s.now+s.longestFetch(j)+2*s.cfg.ReportEvery < j.gang.since+s.cfg.GangWait
 }
 
-// breakUp ends an attempt: all its tasks are stopped by one decision.
-func (s *State) breakUp(j *job, grace float64) {
+// abortGang ends an attempt: all its tasks are stopped by one decision.
+func (s *State) abortGang(j *job, grace float64) {
 	if !j.gang.broken {
-		s.log(slog.LevelDebug, "gang stopped", "job", j.ID, "attempt", j.gang.attempt, "grace_s", grace, "term", s.tenure.Term)
+		s.log(slog.LevelDebug, "gang stopped", "job", j.ID, "attempt", j.gang.attempt, "grace_s", grace, "term", s.leadership.Term)
 	}
 	j.gang.broken = true
 	for _, t := range j.tasks {
@@ -57,17 +57,17 @@
 	case g.broken:
 	case g.began, why == model.CausePeers, why == model.CauseAlone:
 		// Nothing that the others still do counts: at once they make room.
-		s.breakUp(t.job, 0)
+		s.abortGang(t.job, 0)
 	case t.attempt == g.attempt:
-		if g.shunned == nil {
-			g.shunned = map[string]bool{}
+		if g.excluded == nil {
+			g.excluded = map[string]bool{}
 		}
-		g.shunned[t.m.host] = true
+		g.excluded[t.m.host] = true
 	}
 }
 
-// gangShows takes what a report shows of a gang's task.
-func (s *State) gangShows(j *job, p model.TaskReport) {
+// observeGang takes what a report shows of a gang's task.
+func (s *State) observeGang(j *job, p model.TaskReport) {
 	switch p.State {
 	case model.TaskGathering:
 		if j.gang.since == 0 {
@@ -85,29 +85,29 @@
 	if len(j.tasks) == 1 {
 		j.gang = gang{attempt: t.attempt}
 	} else if t.attempt != j.gang.attempt {
-		s.breakUp(j, 0)
+		s.abortGang(j, 0)
 	}
 	if j.gang.broken {
 		s.stop(t, 0)
 	}
 }
 
-// tendGangs ends attempts that can't be completed: one that lost a task after it
+// reconcileGangs ends attempts that can't be completed: one that lost a task after it
 // began, before this leader knew of it, or that found no place for a missing one
 // in the time for which the others wait. Kept waiting, two such gangs held
 // each other's room half filled.
-func (s *State) tendGangs() {
+func (s *State) reconcileGangs() {
 	if s.now < s.gangsAt {
 		return
 	}
 	s.gangsAt = s.now + max(s.cfg.ReportEvery/6, time.Second/4)
 	for _, id := range ordered(s.active) {
 		j := s.active[id]
-		if j.Kind != model.Gang || j.gang.broken || len(j.tasks) == 0 || j.waiting() == 0 || !s.ripe(j) {
+		if j.Kind != model.Gang || j.gang.broken || len(j.tasks) == 0 || j.waiting() == 0 || !s.schedulable(j) {
 			continue
 		}
 		if j.gang.began || !s.gangHasTime(j) {
-			s.breakUp(j, 0)
+			s.abortGang(j, 0)
 		}
 	}
 }
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -16,14 +16,14 @@
 	}
 	var hosts []string
 	s.zones = s.zoneView()
-	s.unseenNow, s.inReach = 0, 0
+	s.unaccountedNow, s.inReach = 0, 0
 	for _, m := range s.order {
 		if s.zones[m.zone].silent {
 			continue // each is waited for in any case, and says nothing of the rest
 		}
 		s.inReach++
 		if s.unaccounted(m) {
-			s.unseenNow++
+			s.unaccountedNow++
 		}
 	}
 	service := s.serviceNeed()
@@ -43,22 +43,22 @@
 		case s.zones[m.zone].silent:
 			// Cut off, most likely: what is there goes on working by itself or
 			// will, and a machine that lost its work keeps its images.
-		case s.deaf(m), s.missing(m):
+		case s.unresponsive(m), s.missing(m):
 			hosts = append(hosts, m.host)
 		case m.lapsed:
 			// Not while nobody reports: then it is rather us who are cut off.
-			if s.now-max(s.leaseEnd(m), s.zoneBack[m.zone]) > s.cfg.Lease/2 && s.now-s.beatAt < 2*s.cfg.ReportEvery {
+			if s.now-max(s.leaseEnd(m), s.zoneBack[m.zone]) > s.cfg.Lease/2 && s.now-s.lastReportAt < 2*s.cfg.ReportEvery {
 				hosts = append(hosts, m.host)
 			}
 		case !m.up && !m.rostered:
-			if s.now-m.hiredAt > s.bootLimit(m) {
+			if s.now-m.rentedAt > s.bootLimit(m) {
 				hosts = append(hosts, m.host)
 			}
-		case !m.rostered && s.now-m.heard > 2*s.cfg.Lease, s.muteTooLong(m):
+		case !m.rostered && s.now-m.heard > 2*s.cfg.Lease, s.unreachableTooLong(m):
 			hosts = append(hosts, m.host)
-		case m.slow && len(m.tasks) == 0 && len(m.strangers) == 0:
+		case m.slow && len(m.tasks) == 0 && len(m.orphans) == 0:
 			hosts = append(hosts, m.host)
-		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.strangers) == 0 && len(m.view.Local) == 0:
+		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.orphans) == 0 && len(m.view.Local) == 0:
 			own, ofGang := s.serviceRoomOn(m, service), 0
 			if gang != nil && m.zone == gangZone {
 				ofGang = s.gangRoomOn(m, gang)
@@ -77,9 +77,9 @@
 	if len(hosts) == 0 {
 		return
 	}
-	tenure := s.tenure
+	leadership := s.leadership
 	ok := s.cloud(CloudCall{Op: CloudReturn, Hosts: hosts}, func(d CloudDone) {
-		if s.tenure != tenure {
+		if s.leadership != leadership {
 			return
 		}
 		s.returnBy = false
@@ -111,7 +111,7 @@
 		}
 		m.returning, m.returnTold = true, true
 		s.dirty = true
-		s.log(level, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.tenure.Term)
+		s.log(level, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.leadership.Term)
 	}
 }
 
@@ -131,7 +131,7 @@
 		boot = max(m.typ.BootS, 5)
 	}
 	const minimumCharge = 60 * time.Second // PROTOCOL, /machines/return
-	return s.now-m.idleSince > time.Duration(s.cfg.IdleReturn*boot*float64(time.Second)) && s.now-m.hiredAt > minimumCharge
+	return s.now-m.idleSince > time.Duration(s.cfg.IdleReturn*boot*float64(time.Second)) && s.now-m.rentedAt > minimumCharge
 }
 
 // gone notes that the cloud has confirmed a machine's end.
@@ -228,7 +228,7 @@
 		}
 		if _, ok := s.silentAt[name]; !ok {
 			s.silentAt[name] = s.now
-			s.log(slog.LevelInfo, "zone out of reach", "zone", name, "machines", z.machines, "heard", z.heard, "term", s.tenure.Term)
+			s.log(slog.LevelInfo, "zone out of reach", "zone", name, "machines", z.machines, "heard", z.heard, "term", s.leadership.Term)
 		}
 		z.silent = s.now-s.silentAt[name] < silentLeases*s.cfg.Lease
 		zones[name] = z
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	s := alone()
 	s.loaded, s.hasTouch, s.ready, s.settled = true, true, true, true
-	s.tenure, s.teams, s.pages = newTenure(s), map[string]sched.Resources{}, map[int]*page{}
+	s.leadership, s.teams, s.pages = newLeadership(s), map[string]sched.Resources{}, map[int]*page{}
 	s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Team: "t", Tasks: 3, Kind: model.Batch}}), Stamp: 5})
 	m := s.machine("n-1")
 	m.endpoint, m.session, m.seq, m.adopted, m.rostered, m.up = "e", 1, 10, true, true, true
@@ -52,7 +52,7 @@
 	})
 	t.Run("an answered command renews no lease", func(t *testing.T) {
 		s, _, m := leading(t)
-		m.lastBeat, s.now = time.Second, 5*time.Second
+		m.lastReplyAt, s.now = time.Second, 5*time.Second
 		end := s.leaseEnd(m)
 		s.report(m, &model.Report{Host: "n-1", Session: 1, Seq: 11, Epoch: s.epochBase()}, false)
 		if got := s.leaseEnd(m); got != end {
@@ -109,16 +109,16 @@
 	t.Run("an answer carries the end of the entitlement", func(t *testing.T) {
 		s, _, m := leading(t)
 		s.out = nil
-		s.answerBeat(heldBeat{req: 1, m: m, r: &model.Report{Host: "n-1", Session: 1, Seq: 11}})
-		if r, ok := s.out[0].(Reply); !ok || r.Status != 200 || r.Until != s.tenure.Until() {
-			t.Errorf("%+v, entitled until %v", s.out, s.tenure.Until())
+		s.answerReport(pendingReport{req: 1, m: m, r: &model.Report{Host: "n-1", Session: 1, Seq: 11}})
+		if r, ok := s.out[0].(Reply); !ok || r.Status != 200 || r.Until != s.leadership.Until() {
+			t.Errorf("%+v, entitled until %v", s.out, s.leadership.Until())
 		}
 	})
 	t.Run("a lease that has surely run out frees what ran under it", func(t *testing.T) {
 		s, j, m := leading(t)
 		x := &task{job: j, index: 0, name: "req-000001/0", attempt: 9, m: m, session: 1, issued: true}
 		s.bind(x)
-		m.lastBeat = time.Second
+		m.lastReplyAt = time.Second
 		for _, c := range []struct {
 			at    time.Duration
 			bound bool
@@ -132,7 +132,7 @@
 	})
 	t.Run("an entitlement that has run out is over", func(t *testing.T) {
 		s, _, _ := leading(t)
-		s.now = s.tenure.Until()
+		s.now = s.leadership.Until()
 		if s.Leading() {
 			t.Error("it leads on")
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -158,7 +158,7 @@
 		if v.Phase == model.PhaseAborted && it.Stamp > s.termStamp {
 			s.unshared[id] = it.Stamp
 		}
-		if s.tenure != nil && s.electedAt != 0 {
+		if s.leadership != nil && s.electedAt != 0 {
 			s.jobOver(j)
 		}
 		j.retry, j.chunks, j.doneBits, j.entry = nil, nil, nil, nil
@@ -283,7 +283,7 @@
 		}
 	}
 	s.put(&write{
-		change: Change{Key: key, Value: value}, leader: s.tenure.Term, deadline: s.now + time.Hour, extra: extra, class: classEnd,
+		change: Change{Key: key, Value: value}, leader: s.leadership.Term, deadline: s.now + time.Hour, extra: extra, class: classEnd,
 		done: func(r outcome) {
 			j.finishing = false
 			if r == written {
@@ -348,7 +348,7 @@
 		c.open++
 		s.put(&write{
 			change:   Change{Key: key, Value: raw(bitmapValue{base64.StdEncoding.EncodeToString(part), from})},
-			leader:   s.tenure.Term,
+			leader:   s.leadership.Term,
 			deadline: s.now + time.Hour,
 			class:    classBitmap,
 			// Written after the job's end it would stay for ever.
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -12,58 +12,58 @@
 // lead is what concerns leadership: promises, candidacy and the leader's own
 // bookkeeping, which a new term starts afresh.
 type lead struct {
-	voter          *election.Voter
-	peers          map[string]*peerState
-	tenure         *election.Tenure // candidacy or leadership; nil for a follower
-	grant          uint64           // lease of the leader key
-	grantAt        time.Duration    // sending of the request that got it
-	bidding        bool             // grant or key transaction under way
-	raisingVersion bool             // the write of the cluster version is under way
-	versionNoted   bool             // this controller's own version is in the state service
-	ownVersion     int              // as noted there, perhaps by an earlier life
-	noteVersionAt  time.Duration    // not before
-	nextBid        time.Duration
-	claimAt        time.Duration
-	touchAt        time.Duration
-	helloAt        time.Duration
-	touching       bool
-	unreached      bool          // stepped down because no worker came, and none has come since
-	overran        time.Duration // stepped down because its entitlement ran out; 0: never
-	abstain        time.Duration // no candidacy before
+	voter             *election.Voter
+	peers             map[string]*peerState
+	leadership        *election.Leadership // candidacy or leadership; nil for a follower
+	leaseID           uint64               // lease of the leader key
+	leaseRequestedAt  time.Duration        // sending of the request that got it
+	winningKey        bool                 // lease or key transaction under way
+	raisingVersion    bool                 // the write of the cluster version is under way
+	versionNoted      bool                 // this controller's own version is in the state service
+	ownVersion        int                  // as noted there, perhaps by an earlier life
+	noteVersionAt     time.Duration        // not before
+	campaignAt        time.Duration
+	requestVotesAt    time.Duration
+	renewAt           time.Duration
+	announceAt        time.Duration
+	renewing          bool
+	unreached         bool          // stepped down because no worker came, and none has come since
+	entitlementLostAt time.Duration // stepped down because its entitlement ran out; 0: never
+	abstainUntil      time.Duration // no candidacy before
 
-	electedAt  time.Duration
-	electedRev uint64
-	before     uint64   // the term before this one, whose version the key was won under
-	handed     handover // by a leader whose term has ended
-	firstTerm  bool     // nobody has led, and so rented, before this term
-	ready      bool     // the replica has caught up with the election
-	settled    bool     // every task of older jobs is accounted for
-	looked     int      // of order: the machines before are accounted for
-	looks      int      // machines looked at in search of others
-	attempts   uint64
-	hires      uint64
-	dirty      bool
-	nextRound  time.Duration // no round of decisions before
-	idleRound  time.Duration
-	drainAt    time.Duration
-	bitmapsAt  time.Duration
-	cutShort   int              // rounds that ran out of budget
-	unseen     []*machine       // not accounted for, as of this round
-	views      []*sched.Machine // buffer of a round
-	beats      []heldBeat       // reports to be answered after the next round
-	pages      map[int]*page    // of the roster
-	rosterAt   time.Duration
-	quietAt    time.Duration
-	directs    int                        // direct commands under way
-	reachFrom  int                        // of order: the next machine to look after by a direct command
-	teams      map[string]sched.Resources // what each team's tasks take
-	countsAt   time.Duration
-	slowAt     time.Duration
-	gangsAt    time.Duration
-	gangsSeen  map[string]seenGang // by class
-	beatAt     time.Duration       // last report answered with 200
-	round      *sched.Round
-	paths      map[sched.Path]int
+	electedAt      time.Duration
+	electedRev     uint64
+	before         uint64             // the term before this one, whose version the key was won under
+	transfer       leadershipTransfer // by a leader whose term has ended
+	firstTerm      bool               // nobody has led, and so rented, before this term
+	ready          bool               // the replica has caught up with the election
+	settled        bool               // every task of older jobs is accounted for
+	scanNext       int                // of order: the machines before are accounted for
+	scanned        int                // machines looked at in search of others
+	attempts       uint64
+	rentals        uint64
+	dirty          bool
+	nextRound      time.Duration // no round of decisions before
+	idleRound      time.Duration
+	drainAt        time.Duration
+	bitmapsAt      time.Duration
+	cutShort       int              // rounds that ran out of budget
+	unaccountedFor []*machine       // not accounted for, as of this round
+	views          []*sched.Machine // buffer of a round
+	pendingReports []pendingReport  // reports to be answered after the next round
+	pages          map[int]*page    // of the roster
+	rosterAt       time.Duration
+	silenceAt      time.Duration
+	directs        int                        // direct commands under way
+	reachFrom      int                        // of order: the next machine to look after by a direct command
+	teams          map[string]sched.Resources // what each team's tasks take
+	countsAt       time.Duration
+	slowAt         time.Duration
+	gangsAt        time.Duration
+	gangsSeen      map[string]seenGang // by class
+	lastReportAt   time.Duration       // last report answered with 200
+	round          *sched.Round
+	paths          map[sched.Path]int
 	fleetState
 }
 
@@ -82,7 +82,7 @@
 
 // Leading says whether this node may act as leader now.
 func (s *State) Leading() bool {
-	return s.tenure != nil && s.ready && s.tenure.Entitled(s.now)
+	return s.leadership != nil && s.ready && s.leadership.Entitled(s.now)
 }
 
 // term of the leader's keys: attempts, hires and epochs are built from it, so
@@ -92,32 +92,32 @@
 	attemptBits = 24
 )
 
-func (s *State) epochBase() uint64 { return s.tenure.Term << fenceBits }
+func (s *State) epochBase() uint64 { return s.leadership.Term << fenceBits }
 
-// settleDown ends a leadership whose entitlement has run out.
-func (s *State) settleDown() {
-	if s.tenure != nil && s.electedAt != 0 && !s.tenure.Entitled(s.now) {
-		s.overran = s.now
+// checkEntitlement ends a leadership whose entitlement has run out.
+func (s *State) checkEntitlement() {
+	if s.leadership != nil && s.electedAt != 0 && !s.leadership.Entitled(s.now) {
+		s.entitlementLostAt = s.now
 		s.stepDown("entitlement ran out")
 	}
 }
 
 // superseded ends a leadership or candidacy overtaken by a higher term.
 func (s *State) superseded() {
-	if s.tenure != nil && s.term > s.tenure.Term {
+	if s.leadership != nil && s.term > s.leadership.Term {
 		s.stepDown("a higher term was won")
 	}
-	if s.tenure != nil && s.electedAt == 0 && !s.bidding && s.term >= s.tenure.Term {
+	if s.leadership != nil && s.electedAt == 0 && !s.winningKey && s.term >= s.leadership.Term {
 		s.stepDown("the term was won by another")
 	}
 }
 
 func (s *State) stepDown(why string) {
-	if s.tenure == nil {
+	if s.leadership == nil {
 		return
 	}
-	term := s.tenure.Term
-	s.tenure.End()
+	term := s.leadership.Term
+	s.leadership.End()
 	if s.electedAt != 0 {
 		s.log(slog.LevelInfo, "stepping down", "term", term, "why", why)
 	} else {
@@ -132,23 +132,23 @@
 		life = 0
 	}
 	if s.ready {
-		s.handOver(term)
+		s.transferLeadership(term)
 	}
 	for _, p := range s.cfg.Peers {
 		s.emit(PeerOut{p, PeerMsg{Kind: MsgRelease, Term: term, Ask: life}})
 	}
 	s.voter.Release(s.cfg.Self, term)
-	if s.grant != 0 {
-		s.store(StoreCall{Op: StoreRevoke, Lease: s.grant}, func(StoreDone) {})
+	if s.leaseID != 0 {
+		s.store(StoreCall{Op: StoreRevoke, Lease: s.leaseID}, func(StoreDone) {})
 	}
-	s.tenure, s.grant, s.ready, s.settled, s.electedAt, s.touching = nil, 0, false, false, 0, false
-	s.nextBid = s.now + s.pause()
-	s.answerBeats()
+	s.leadership, s.leaseID, s.ready, s.settled, s.electedAt, s.renewing = nil, 0, false, false, 0, false
+	s.campaignAt = s.now + s.pause()
+	s.answerReports()
 	for _, m := range s.order {
 		s.proven(m, false)
 		m.forgetTerm()
 	}
-	s.odd, s.teams, s.directs = nil, nil, 0
+	s.orphaned, s.teams, s.directs = nil, nil, 0
 	s.shareWrites(false)
 	for _, j := range s.active {
 		j.forgetTerm()
@@ -161,17 +161,17 @@
 	return time.Duration((0.05 + 0.25*s.rnd.Float64()) * float64(s.ecf.Promise))
 }
 
-// hello asks the peers, after a start, to free this node from promises of an
+// announceRestart asks the peers, after a start, to free this node from promises of an
 // earlier life. Waiting them out would cost the workers a part of their lease
 // after all controllers have crashed.
-func (s *State) hello() {
-	if s.voter.Awake(s.now) || s.now < s.helloAt {
+func (s *State) announceRestart() {
+	if s.voter.Awake(s.now) || s.now < s.announceAt {
 		return
 	}
-	s.helloAt = s.now + s.ecf.Promise/8
+	s.announceAt = s.now + s.ecf.Promise/8
 	for _, p := range s.cfg.Peers {
 		if !s.peers[p].free {
-			s.emit(PeerOut{p, PeerMsg{Kind: MsgHello, Ask: s.cfg.Boot}})
+			s.emit(PeerOut{p, PeerMsg{Kind: MsgRestarted, Ask: s.cfg.Boot}})
 		}
 	}
 }
@@ -205,15 +205,15 @@
 	}
 }
 
-// buryEarlierLife ends at once what is left of a leadership that this node had
+// releaseEarlierLife ends at once what is left of a leadership that this node had
 // before it started anew: its key, and the promises given to it. Nobody acts
 // on them any more, and waiting them out would cost the workers their leases.
-func (s *State) buryEarlierLife() {
-	if s.leaderNode != s.cfg.Self || s.tenure != nil {
+func (s *State) releaseEarlierLife() {
+	if s.leaderNode != s.cfg.Self || s.leadership != nil {
 		return
 	}
-	if s.leaderGrant != 0 {
-		s.store(StoreCall{Op: StoreRevoke, Lease: s.leaderGrant}, func(StoreDone) {})
+	if s.leaderLease != 0 {
+		s.store(StoreCall{Op: StoreRevoke, Lease: s.leaderLease}, func(StoreDone) {})
 	}
 	for _, p := range s.cfg.Peers {
 		s.emit(PeerOut{p, PeerMsg{Kind: MsgRelease, Term: s.leaderTerm}})
@@ -222,15 +222,15 @@
 
 // campaign keeps a leadership up or tries to win one.
 func (s *State) campaign() {
-	if s.tenure != nil && s.electedAt != 0 {
+	if s.leadership != nil && s.electedAt != 0 {
 		s.keepUp()
 		return
 	}
-	if s.tenure != nil {
-		s.bid()
+	if s.leadership != nil {
+		s.advanceCampaign()
 		return
 	}
-	if s.now < s.nextBid || s.now < s.abstain || !s.storeOK() || s.leaderNode != "" {
+	if s.now < s.campaignAt || s.now < s.abstainUntil || !s.storeOK() || s.leaderNode != "" {
 		return
 	}
 	if node, bound := s.voter.Bound(s.now); bound && node != s.cfg.Self {
@@ -241,7 +241,7 @@
 		// the others go first. Elected again, it cost the workers a lease.
 		return
 	}
-	if s.overran != 0 && s.now-s.overran < s.cfg.Lease && s.now-s.leaderGone < s.ecf.Promise/2 {
+	if s.entitlementLostAt != 0 && s.now-s.entitlementLostAt < s.cfg.Lease && s.now-s.leaderGone < s.ecf.Promise/2 {
 		// It could not keep its own term up: the others go first. Two controllers
 		// that computed slowly passed the lead to and fro while a third was well.
 		return
@@ -251,61 +251,61 @@
 		term = max(term, p.top)
 	}
 	term++
-	s.tenure, s.before = election.NewTenure(s.ecf, s.now, term, s.termStamp), s.term
-	s.claimAt, s.grant, s.bidding = 0, 0, false
-	s.nextBid = s.now + s.ecf.Promise // candidacy ends here
-	s.bid()
+	s.leadership, s.before = election.NewLeadership(s.ecf, s.now, term, s.termStamp), s.term
+	s.requestVotesAt, s.leaseID, s.winningKey = 0, 0, false
+	s.campaignAt = s.now + s.ecf.Promise // candidacy ends here
+	s.advanceCampaign()
 }
 
-// bid gathers promises and the key.
-func (s *State) bid() {
-	if s.now >= s.nextBid && !s.bidding {
+// advanceCampaign gathers promises and the key.
+func (s *State) advanceCampaign() {
+	if s.now >= s.campaignAt && !s.winningKey {
 		s.stepDown("no majority in time")
 		return
 	}
-	if s.now >= s.claimAt {
-		s.claim(s.ecf.Promise / 6)
+	if s.now >= s.requestVotesAt {
+		s.requestVotes(s.ecf.Promise / 6)
 	}
-	if s.bidding || !s.tenure.Supported(s.now) {
+	if s.winningKey || !s.leadership.Supported(s.now) {
 		return
 	}
-	t := s.tenure
+	t := s.leadership
 	if t.Stamp != s.termStamp {
 		// Promises were given for the version before.
 		s.stepDown("another term was won meanwhile")
 		return
 	}
-	if s.grant == 0 {
-		s.bidding = true
+	if s.leaseID == 0 {
+		s.winningKey = true
 		sent := s.now
-		s.store(StoreCall{Op: StoreGrant, Life: s.ecf.KeyLife}, func(d StoreDone) {
-			if s.tenure != t {
+		s.store(StoreCall{Op: StoreLease, Life: s.ecf.KeyLife}, func(d StoreDone) {
+			if s.leadership != t {
 				return
 			}
-			s.bidding = false
+			s.winningKey = false
 			if d.Status != 200 {
 				s.stepDown("no lease")
 				return
 			}
-			s.grant, s.grantAt = d.Lease, sent
-			s.bid()
+			s.leaseID, s.leaseRequestedAt = d.Lease, sent
+			s.advanceCampaign()
 		})
 		return
 	}
-	s.bidding = true
-	sent := s.grantAt
+	s.winningKey = true
+	sent := s.leaseRequestedAt
 	s.store(StoreCall{
 		Op:     StoreTxn,
 		Guards: []Guard{{keyTerm, t.Stamp}, {keyLeader, 0}},
 		Then: []Change{
 			{Key: keyTerm, Value: raw(termValue{t.Term, s.cfg.Self})},
-			{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Lease: s.grant},
+			{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.leaseID}), Lease: s.leaseID},
 		},
 	}, func(d StoreDone) {
-		if s.tenure != t {
+		if s.leadership != t {
 			return
 		}
-		s.bidding = false
+		s.winningKey = false
 		if d.Status != 200 || !t.Elected(s.now, sent) {
 			s.log(slog.LevelDebug, "key not won", "term", t.Term, "status", d.Status, "failed", d.Failed)
 			if d.Status == 409 {
@@ -320,8 +320,8 @@
 		s.firstTerm = t.Stamp == 0 // nobody has led before
 		s.electedAt, s.electedRev = s.now, d.Rev
 		s.apply(Item{Key: keyTerm, Value: raw(termValue{t.Term, s.cfg.Self}), Stamp: d.Rev})
-		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.grant}), Stamp: d.Rev})
-		s.claimAt, s.touchAt = 0, s.now
+		s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, s.leaseID}), Stamp: d.Rev})
+		s.requestVotesAt, s.renewAt = 0, s.now
 		s.log(slog.LevelInfo, "elected", "term", t.Term)
 		s.catchUp()
 	})
@@ -330,9 +330,9 @@
 // catchUp makes sure that the new leader has seen all that former leaders
 // have written, before it acts.
 func (s *State) catchUp() {
-	t := s.tenure
+	t := s.leadership
 	s.fresh(func(ok bool) {
-		if s.tenure != t || s.ready {
+		if s.leadership != t || s.ready {
 			return
 		}
 		if !ok || s.rev < s.electedRev {
@@ -348,10 +348,10 @@
 // outvoted ends a candidacy that can't get a majority any more, so that its
 // own promise to itself doesn't stand in another's way.
 func (s *State) outvoted(p *peerState) {
-	p.refusedTerm = s.tenure.Term
+	p.refusedTerm = s.leadership.Term
 	left := s.ecf.Nodes
 	for _, o := range s.peers {
-		if o.refusedTerm == s.tenure.Term {
+		if o.refusedTerm == s.leadership.Term {
 			left--
 		}
 	}
@@ -360,15 +360,15 @@
 	}
 }
 
-// claim asks the peers for promises, as candidate or leader.
-func (s *State) claim(every time.Duration) {
-	s.claimAt = s.now + every
-	t := s.tenure
+// requestVotes asks the peers for promises, as candidate or leader.
+func (s *State) requestVotes(every time.Duration) {
+	s.requestVotesAt = s.now + every
+	t := s.leadership
 	s.vouch(s.cfg.Self, t.Term, t.Stamp)
 	if s.voter.Grant(s.now, s.cfg.Self, t.Term) {
 		t.Promised(s.now, s.cfg.Self, s.now)
 	}
-	m := PeerMsg{Kind: MsgClaim, Ask: s.cfg.Boot, Version: s.cfg.Version, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}
+	m := PeerMsg{Kind: MsgVoteRequest, Ask: s.cfg.Boot, Version: s.cfg.Version, Term: t.Term, Stamp: t.Stamp, Sent: s.now, StoreOK: s.storeOK(), StoreAge: s.storeAge()}
 	if s.ready {
 		s.shared(s.rev)
 		m.Rev, m.Read = s.rev, s.now-s.readAt > s.ecf.Staleness/4
@@ -381,11 +381,11 @@
 // keepUp renews promises and key, and gives the term up when another node
 // could serve and this one can't.
 func (s *State) keepUp() {
-	if s.now >= s.claimAt {
-		s.claim(s.ecf.Promise / 4)
+	if s.now >= s.requestVotesAt {
+		s.requestVotes(s.ecf.Promise / 4)
 	}
-	if s.now >= s.touchAt && !s.touching {
-		s.touch()
+	if s.now >= s.renewAt && !s.renewing {
+		s.renewKey()
 	}
 	if !s.ready {
 		return
@@ -395,7 +395,7 @@
 		// its promise. Without waiting for the promise to run out, let go.
 		for _, p := range s.peers {
 			if p.storeOK && s.now-p.heard < s.ecf.Promise/2 && p.refusedAt > s.now-s.ecf.Promise/2 {
-				s.abstain = s.now + s.ecf.Promise
+				s.abstainUntil = s.now + s.ecf.Promise
 				s.stepDown("the state service is out of reach here but not elsewhere")
 				return
 			}
@@ -403,7 +403,7 @@
 	}
 	s.raiseClusterVersion()
 	if s.cutFromWorkers() {
-		s.abstain = s.now + s.cfg.Lease
+		s.abstainUntil = s.now + s.cfg.Lease
 		s.unreached = true
 		s.stepDown("no worker reaches this node")
 	}
@@ -417,7 +417,7 @@
 // they lapse and nothing further happens.
 func (s *State) cutFromWorkers() bool {
 	quiet := s.cfg.Lease / 3
-	if s.now-s.beatAt < quiet || s.now-s.electedAt < 2*quiet {
+	if s.now-s.lastReportAt < quiet || s.now-s.electedAt < 2*quiet {
 		return false
 	}
 	if !slices.ContainsFunc(s.order, func(m *machine) bool { return m.adopted }) {
@@ -431,64 +431,64 @@
 	return false
 }
 
-func (s *State) touch() {
-	t, sent, grant := s.tenure, s.now, s.grant
-	s.touching = true
-	s.touchAt = s.now + s.ecf.KeyLife/4
+func (s *State) renewKey() {
+	t, sent, leaseID := s.leadership, s.now, s.leaseID
+	s.renewing = true
+	s.renewAt = s.now + s.ecf.KeyLife/4
 	// The answer tells of the sending: late, it is still worth what is left of the
 	// key's life. Given up after a second, no renewal of a leader that was short
 	// of processor time counted, and it lost its term.
-	s.store(StoreCall{Op: StoreTouch, Lease: grant, Timeout: s.ecf.KeyLife * 3 / 4}, func(d StoreDone) {
-		if s.tenure != t {
+	s.store(StoreCall{Op: StoreRenew, Lease: leaseID, Timeout: s.ecf.KeyLife * 3 / 4}, func(d StoreDone) {
+		if s.leadership != t {
 			return
 		}
-		s.touching = false
+		s.renewing = false
 		switch d.Status {
 		case 200:
 			t.Renewed(s.now, sent)
 		case 404:
 			t.KeyLost()
-			s.remakeKey()
+			s.recreateKey()
 		default:
-			s.touchAt = s.now + s.ecf.KeyLife/10
+			s.renewAt = s.now + s.ecf.KeyLife/10
 		}
 	})
 }
 
-// remakeKey sets the leader key again after a lease that ended while promises
+// recreateKey sets the leader key again after a lease that ended while promises
 // carried the leader on. The guard on the term keeps it from succeeding once
 // another has been elected. Only a key that is known to be set counts: a new
 // lease that was kept up without one made the leader believe that nobody else
 // could be elected.
-func (s *State) remakeKey() {
-	t, sent := s.tenure, s.now
-	s.touching = true
-	s.store(StoreCall{Op: StoreGrant, Life: s.ecf.KeyLife}, func(d StoreDone) {
-		if s.tenure != t {
+func (s *State) recreateKey() {
+	t, sent := s.leadership, s.now
+	s.renewing = true
+	s.store(StoreCall{Op: StoreLease, Life: s.ecf.KeyLife}, func(d StoreDone) {
+		if s.leadership != t {
 			return
 		}
-		s.touching = false
+		s.renewing = false
 		if d.Status != 200 {
 			return
 		}
-		s.touching = true
-		grant, own := d.Lease, uint64(0)
+		s.renewing = true
+		leaseID, own := d.Lease, uint64(0)
 		if s.leaderTerm == t.Term && s.leaderNode == s.cfg.Self {
 			own = s.leaderStamp // set by an earlier try whose answer was lost
 		}
 		s.store(StoreCall{
 			Op:     StoreTxn,
 			Guards: []Guard{{keyTerm, s.termStamp}, {keyLeader, own}},
-			Then:   []Change{{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, grant}), Lease: grant}},
+			Then:   []Change{{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, leaseID}), Lease: leaseID}},
 		}, func(d StoreDone) {
-			if s.tenure != t {
+			if s.leadership != t {
 				return
 			}
-			s.touching = false
+			s.renewing = false
 			if d.Status == 200 {
-				s.grant = grant
+				s.leaseID = leaseID
 				t.Renewed(s.now, sent)
-				s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, grant}), Stamp: d.Rev})
+				s.apply(Item{Key: keyLeader, Value: raw(leaderValue{s.cfg.Self, t.Term, leaseID}), Stamp: d.Rev})
 			}
 		})
 	})
@@ -501,11 +501,11 @@
 		return
 	}
 	switch m.Kind {
-	case MsgHello:
-		if s.tenure != nil && (s.electedAt != 0 || s.bidding) {
+	case MsgRestarted:
+		if s.leadership != nil && (s.electedAt != 0 || s.winningKey) {
 			return // it is counted on, perhaps: let it sleep
 		}
-		if s.tenure != nil {
+		if s.leadership != nil {
 			// Promises that are still on their way here die with the
 			// candidacy that asked for them.
 			s.stepDown("a supporter has started anew")
@@ -516,7 +516,7 @@
 		if m.Ask == s.cfg.Boot {
 			s.freed(p)
 		}
-	case MsgClaim:
+	case MsgVoteRequest:
 		p.storeOK, p.heard = m.StoreOK, s.now
 		s.heardVersion(from, m.Version)
 		if m.Rev != 0 && m.Term >= s.term {
@@ -528,8 +528,8 @@
 			cut = true
 			s.log(slog.LevelInfo, "refusing support to a leader without the state service", "leader", from, "term", m.Term, "its_age", m.StoreAge, "own_age", s.storeAge())
 		}
-		if s.tenure != nil && s.electedAt == 0 && !s.bidding && !cut && m.StoreOK &&
-			(m.Term > s.tenure.Term || m.Term == s.tenure.Term && from < s.cfg.Self) {
+		if s.leadership != nil && s.electedAt == 0 && !s.winningKey && !cut && m.StoreOK &&
+			(m.Term > s.leadership.Term || m.Term == s.leadership.Term && from < s.cfg.Self) {
 			// Two candidates, each bound to itself, would wait for one
 			// another's promises until both give up.
 			s.stepDown("another candidate goes first")
@@ -546,22 +546,22 @@
 	case MsgPromise:
 		p.storeOK, p.heard, p.top = m.StoreOK, s.now, m.Top
 		s.heardVersion(from, m.Version)
-		if s.tenure == nil || s.tenure.Term != m.Term || m.Ask != s.cfg.Boot {
+		if s.leadership == nil || s.leadership.Term != m.Term || m.Ask != s.cfg.Boot {
 			// A late answer to an earlier life tells the time of another clock:
 			// counted, it would support this one for as long as that had run.
 			return
 		}
 		if m.Granted {
-			s.tenure.Promised(s.now, from, m.Sent)
+			s.leadership.Promised(s.now, from, m.Sent)
 			s.readLeased(from, m)
 			if s.electedAt == 0 {
-				s.bid()
+				s.advanceCampaign()
 			}
 		} else if m.Cut {
 			// Only this kind of refusal: a peer that is bound to another for
 			// a while says nothing about the state service.
 			p.refusedAt = s.now
-		} else if s.electedAt == 0 && !s.bidding {
+		} else if s.electedAt == 0 && !s.winningKey {
 			s.outvoted(p)
 		}
 	case MsgRelease:
@@ -591,7 +591,7 @@
 
 // leaderName is the node that leads as far as this one knows.
 func (s *State) leaderName() string {
-	if s.tenure != nil && s.electedAt != 0 {
+	if s.leadership != nil && s.electedAt != 0 {
 		return s.cfg.Self
 	}
 	if node, bound := s.voter.Bound(s.now); bound && node != s.cfg.Self {
@@ -606,5 +606,5 @@
 // LeadingAt says whether this node may act as leader at now. It changes
 // nothing: a test can ask without ending what has lapsed.
 func (s *State) LeadingAt(now time.Duration) bool {
-	return s.tenure != nil && s.ready && s.electedAt != 0 && now < s.tenure.Until()
+	return s.leadership != nil && s.ready && s.electedAt != 0 && now < s.leadership.Until()
 }
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -13,7 +13,7 @@
 // leaseEnd is when m's lease has surely run out, if nobody answers it again.
 func (s *State) leaseEnd(m *machine) time.Duration {
 	l := s.cfg.Lease
-	return m.lastBeat + l + time.Duration(float64(l)*4*Drift) + l/32
+	return m.lastReplyAt + l + time.Duration(float64(l)*4*Drift) + l/32
 }
 
 // lapses unbinds what was on machines whose lease has surely run out.
@@ -23,12 +23,12 @@
 			continue
 		}
 		m.lapsed, m.adopted, m.cleared = true, false, true
-		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.tenure.Term, "tasks", len(m.tasks))
+		s.log(slog.LevelInfo, "machine lost", "host", m.host, "term", s.leadership.Term, "tasks", len(m.tasks))
 		for _, name := range ordered(m.tasks) {
 			s.unbind(m.tasks[name], "lease ran out")
 		}
-		clear(m.strangers)
-		s.odd = slices.DeleteFunc(s.odd, func(o *machine) bool { return o == m })
+		clear(m.orphans)
+		s.orphaned = slices.DeleteFunc(s.orphaned, func(o *machine) bool { return o == m })
 		m.view.Local = nil
 		s.dirty = true
 	}
@@ -38,8 +38,8 @@
 // unaccounted says whether m may run tasks that this leader hasn't seen.
 func (s *State) unaccounted(m *machine) bool { return m.rostered && !m.adopted && !m.cleared }
 
-// Looks is how many machines were looked at until this term was settled.
-func (s *State) Looks() int { return s.looks }
+// MachinesScanned is how many machines were looked at until this term was settled.
+func (s *State) MachinesScanned() int { return s.scanned }
 
 // checkSettled notes when every task of older jobs is accounted for: each
 // machine of the roster has shown all it has under this term, or is gone.
@@ -49,19 +49,19 @@
 	}
 	// It is called for each report: looking at all machines each time would
 	// make a takeover's work grow with the square of the fleet.
-	for ; s.looked < len(s.order); s.looked++ {
-		s.looks++
-		if s.unaccounted(s.order[s.looked]) {
+	for ; s.scanNext < len(s.order); s.scanNext++ {
+		s.scanned++
+		if s.unaccounted(s.order[s.scanNext]) {
 			return
 		}
 	}
-	s.looks += len(s.order)
+	s.scanned += len(s.order)
 	if slices.ContainsFunc(s.order, s.unaccounted) {
-		s.looked = 0 // the order has changed meanwhile, or one has begun anew
+		s.scanNext = 0 // the order has changed meanwhile, or one has begun anew
 		return
 	}
 	s.settled, s.dirty = true, true
-	s.log(slog.LevelInfo, "all machines accounted for", "term", s.tenure.Term)
+	s.log(slog.LevelInfo, "all machines accounted for", "term", s.leadership.Term)
 }
 
 // overdue gives up machines on which tasks of a withdrawn job are still to be
@@ -80,7 +80,7 @@
 			return true
 		}
 	}
-	for name := range m.strangers {
+	for name := range m.orphans {
 		id, _, _ := model.SplitTask(name)
 		if late(s.jobs[id]) {
 			return true
@@ -116,14 +116,14 @@
 // with one of three gone, nine machines held up all older jobs of the other two.
 func (s *State) missing(m *machine) bool {
 	return s.unaccounted(m) && m.session == 0 && m.askedInVain &&
-		s.now-s.electedAt > s.overdueReport(s.cfg.ReportEvery*5/4, s.silence()/2+s.cfg.ReportEvery) && s.unseenNow*32 <= s.inReach
+		s.now-s.electedAt > s.overdueReport(s.cfg.ReportEvery*5/4, s.silence()/2+s.cfg.ReportEvery) && s.unaccountedNow*32 <= s.inReach
 }
 
-// deaf says whether m is given up before its lease is over: it carries
+// unresponsive says whether m is given up before its lease is over: it carries
 // services, or tasks of gangs whose others wait for its end, neither reports nor answers, and nearly all others do, so that it
 // is the machine and not this node that is out of reach. Waiting for the lease
 // would keep the services down for longer than returning it.
-func (s *State) deaf(m *machine) bool {
+func (s *State) unresponsive(m *machine) bool {
 	quiet := s.cfg.Lease / 2
 	if !m.adopted || s.now-m.heard < quiet || s.now-s.electedAt < s.cfg.Lease {
 		return false
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -35,17 +35,17 @@
 	pageStored int
 	ownKey     bool // on the roster by a key of its own, as former versions wrote it
 	// quiet is since when it hasn't been answered, as wanted in the roster (0:
-	// no mark), quietStored the mark that may be there.
-	quiet, quietStored int64
-	standing           bool // the operators' own, there before us: never returned for being idle
-	returning          bool
+	// no mark), silentStored the mark that may be there.
+	silentSince, silentStored int64
+	standing                  bool // the operators' own, there before us: never returned for being idle
+	returning                 bool
 	// returnDoubt: a return had no answer, so the machine can't be counted on.
 	returnDoubt bool
 	returnTold  bool
 	dead        bool          // the cloud says that it has failed
 	heard       time.Duration // last report of any kind
-	lastBeat    time.Duration // receipt of the last report answered with 200
-	hiredAt     time.Duration
+	lastReplyAt time.Duration // receipt of the last report answered with 200
+	rentedAt    time.Duration
 	idleSince   time.Duration
 	recallAt    time.Duration // 0: none
 	downUntil   time.Duration // no new tasks before (refusals, errors)
@@ -53,11 +53,11 @@
 	slow        bool // found slow: drained, returned and replaced
 	slowSigns   int
 
-	tasks     map[string]*task
-	strangers map[string]model.TaskReport
+	tasks   map[string]*task
+	orphans map[string]model.TaskReport
 
-	proof   *heldBeat // a report that waits for the machine's own word
-	mute    muteness
+	proof   *pendingReport // a report that waits for the machine's own word
+	reach   reachability
 	told    uint64 // epoch of the last answer to a report, and that report
 	toldSeq uint64
 
@@ -75,7 +75,7 @@
 func (s *State) machine(host string) *machine {
 	m := s.machines[host]
 	if m == nil {
-		m = &machine{host: host, tasks: map[string]*task{}, strangers: map[string]model.TaskReport{}, hiredAt: s.now, idleSince: s.now}
+		m = &machine{host: host, tasks: map[string]*task{}, orphans: map[string]model.TaskReport{}, rentedAt: s.now, idleSince: s.now}
 		m.view.ID, m.view.Ref = host, m
 		// A machine of a type that isn't known yet may report running tasks: without
 		// a cache such a report ended the process.
@@ -100,7 +100,7 @@
 		// A new list: somebody may be going over the old one.
 		s.order = slices.Concat(s.order[:at], s.order[at+1:])
 	}
-	s.odd = slices.DeleteFunc(s.odd, func(m *machine) bool { return m.host == host })
+	s.orphaned = slices.DeleteFunc(s.orphaned, func(m *machine) bool { return m.host == host })
 }
 
 // describe sets what kind of machine m is.
@@ -127,11 +127,11 @@
 	m.up, m.adopted, m.lapsed, m.cleared, m.returning, m.direct = false, false, false, false, false, false
 	m.returnDoubt, m.returnTold = false, false
 	m.tasks = map[string]*task{}
-	m.strangers = map[string]model.TaskReport{}
+	m.orphans = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
 	m.told, m.toldSeq, m.least, m.askedAt, m.askedInVain = 0, 0, 0, 0, false
 	m.keptFor, m.slow, m.slowSigns = nil, false, 0
-	m.proof, m.mute = nil, muteness{}
+	m.proof, m.reach = nil, reachability{}
 	m.page = m.pageStored // the page that it was meant for may never have been written
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
 	m.stale, m.unsent = true, false
@@ -140,20 +140,20 @@
 // takeOver begins a term: every machine that a former leader may have given
 // tasks is asked, and fenced, by an empty command under the new epoch.
 func (s *State) takeOver() {
-	s.log(slog.LevelInfo, "leading", "term", s.tenure.Term, "jobs", len(s.active), "machines", len(s.machines))
-	s.attempts, s.hires, s.beatAt = 0, 0, s.now
-	s.settled, s.looked, s.looks = false, 0, 0
+	s.log(slog.LevelInfo, "leading", "term", s.leadership.Term, "jobs", len(s.active), "machines", len(s.machines))
+	s.attempts, s.rentals, s.lastReportAt = 0, 0, s.now
+	s.settled, s.scanNext, s.scanned = false, 0, 0
 	s.paths = map[sched.Path]int{}
-	s.pages, s.rosterAt, s.quietAt = map[int]*page{}, 0, 0
-	s.teams, s.odd, s.beats = map[string]sched.Resources{}, nil, nil
+	s.pages, s.rosterAt, s.silenceAt = map[int]*page{}, 0, 0
+	s.teams, s.orphaned, s.pendingReports = map[string]sched.Resources{}, nil, nil
 	for _, m := range s.order {
 		if !m.rostered {
 			s.drop(m.host)
 			continue
 		}
 		m.forgetTerm()
-		m.lastBeat, m.heard, m.quiet = s.lastAnswered(m), s.electedAt, m.quietStored
-		m.idleSince, m.hiredAt = s.now, s.now
+		m.lastReplyAt, m.heard, m.silentSince = s.lastAnswered(m), s.electedAt, m.silentStored
+		m.idleSince, m.rentedAt = s.now, s.now
 		if m.page > 0 {
 			s.page(m.page).owned++
 		}
--- a/internal/core/mute.go
+++ b/internal/core/reachability.go
@@ -14,9 +14,9 @@
 // renewed nor an order carried out, so the leader looks for signs that its
 // answers arrive: the epoch that they carried and the starts.
 
-// muteness is what a leader knows of that.
-type muteness struct {
-	is    bool
+// reachability is what a leader knows of that.
+type reachability struct {
+	lost  bool          // nothing that is sent arrives there
 	signs int           // in a row that it doesn't get what it is sent
 	times int           // how often it was found so
 	epoch uint64        // whoever shows it has heard us since
@@ -24,26 +24,26 @@
 	until time.Duration // not trusted before
 }
 
-// muteSigns is how many signs in a row make a machine mute: one answer or
+// maxMissedDeliveries is how many signs in a row make a machine mute: one answer or
 // command can be lost.
-const muteSigns = 2
+const maxMissedDeliveries = 2
 
-// unheard looks for signs of our answers in a machine's own report.
-func (s *State) unheard(m *machine, r *model.Report) {
+// checkDelivery looks for signs of our answers in a machine's own report.
+func (s *State) checkDelivery(m *machine, r *model.Report) {
 	switch {
-	case m.mute.is || m.toldSeq == 0 || r.Seq <= m.toldSeq:
+	case m.reach.lost || m.toldSeq == 0 || r.Seq <= m.toldSeq:
 		// Known, or not answered in this session yet.
 	case r.Epoch >= m.told && !s.unstarted(m, r):
-		m.mute.signs = 0
+		m.reach.signs = 0
 	default:
-		s.unreachable(m)
+		s.countMissedDelivery(m)
 	}
 }
 
-// unreachable counts one sign that nothing reaches m.
-func (s *State) unreachable(m *machine) {
-	if m.mute.signs++; m.mute.signs >= muteSigns {
-		s.setMute(m, "it reports, but shows nothing of what it is sent")
+// countMissedDelivery counts one sign that nothing reaches m.
+func (s *State) countMissedDelivery(m *machine) {
+	if m.reach.signs++; m.reach.signs >= maxMissedDeliveries {
+		s.markUnreachable(m, "it reports, but shows nothing of what it is sent")
 	}
 }
 
@@ -58,35 +58,35 @@
 	return false
 }
 
-// setMute gives m no work and no answers any more, so that its session is sure
+// markUnreachable gives m no work and no answers any more, so that its session is sure
 // to end and its tasks can run elsewhere. It is trusted again once it shows an
 // epoch that only a command from now on carries, later each time.
-func (s *State) setMute(m *machine, why string) {
-	if m.mute.is {
+func (s *State) markUnreachable(m *machine, why string) {
+	if m.reach.lost {
 		return
 	}
 	s.raiseFence(m)
-	m.mute.is, m.mute.signs, m.mute.epoch = true, 0, s.epoch(m)
-	m.mute.until = s.now + time.Duration(m.mute.times)*s.cfg.Lease
-	if m.mute.times++; m.mute.times == 1 {
-		m.mute.since = s.now
+	m.reach.lost, m.reach.signs, m.reach.epoch = true, 0, s.epoch(m)
+	m.reach.until = s.now + time.Duration(m.reach.times)*s.cfg.Lease
+	if m.reach.times++; m.reach.times == 1 {
+		m.reach.since = s.now
 	}
-	s.log(slog.LevelInfo, "machine is out of earshot", "host", m.host, "why", why, "term", s.tenure.Term)
+	s.log(slog.LevelInfo, "machine is out of earshot", "host", m.host, "why", why, "term", s.leadership.Term)
 	s.dirty = true
 }
 
-// hears ends that when a report shows that a command has arrived.
-func (s *State) hears(m *machine, r *model.Report) {
-	if m.mute.is && r.Epoch >= m.mute.epoch && s.now >= m.mute.until {
-		m.mute.is = false
-		s.log(slog.LevelInfo, "machine hears again", "host", m.host, "term", s.tenure.Term)
+// confirmDelivery ends that when a report shows that a command has arrived.
+func (s *State) confirmDelivery(m *machine, r *model.Report) {
+	if m.reach.lost && r.Epoch >= m.reach.epoch && s.now >= m.reach.until {
+		m.reach.lost = false
+		s.log(slog.LevelInfo, "machine hears again", "host", m.host, "term", s.leadership.Term)
 		s.dirty = true
 	}
 }
 
-// muteTooLong says whether m is to be returned: it is out of earshot for long
+// unreachableTooLong says whether m is to be returned: it is out of earshot for long
 // or again and again. Where commands arrive and only answers don't, each
 // session of it would otherwise end whatever runs longer than a lease.
-func (s *State) muteTooLong(m *machine) bool {
-	return m.mute.is && (s.now-m.mute.since > 3*s.cfg.Lease || m.mute.times > 2) && s.othersReport()
+func (s *State) unreachableTooLong(m *machine) bool {
+	return m.reach.lost && (s.now-m.reach.since > 3*s.cfg.Lease || m.reach.times > 2) && s.othersReport()
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
-		if m.up && (m.mute.is || s.now-m.heard >= s.silence()) {
+		if m.up && (m.reach.lost || s.now-m.heard >= s.silence()) {
 			continue // perhaps gone: not to be counted on
 		}
 		if m.up {
@@ -87,7 +87,7 @@
 		limit = s.cfg.MaxMachines - len(s.machines)
 		if limit <= 0 && !s.limitTold {
 			s.limitTold = true
-			s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.tenure.Term)
+			s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.leadership.Term)
 		}
 	}
 	for _, r := range fleet.Plan(wants, coming, s.offers(have), limit) {
@@ -206,26 +206,26 @@
 	if s.renting >= 4 {
 		return
 	}
-	s.hires++
-	name := fmt.Sprintf("r-%d-%d", s.tenure.Term, s.hires)
+	s.rentals++
+	name := fmt.Sprintf("r-%d-%d", s.leadership.Term, s.rentals)
 	s.rentAs(name, r, 0)
 }
 
 func (s *State) rentAs(name string, r fleet.Rental, try int) {
-	tenure := s.tenure
+	leadership := s.leadership
 	key := offerKey{r.Type, r.Zone, r.Spot}
 	ok := s.cloud(CloudCall{Op: CloudRent, Request: name, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, 50)}, func(d CloudDone) {
-		if s.tenure != tenure {
+		if s.leadership != leadership {
 			return
 		}
 		s.renting--
 		switch d.Status {
 		case 200:
-			s.log(slog.LevelInfo, "rented", "request", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(d.Hosts), "term", tenure.Term)
+			s.log(slog.LevelInfo, "rented", "request", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(d.Hosts), "term", leadership.Term)
 			for _, h := range d.Hosts {
 				m := s.machine(h)
 				if !m.up {
-					m.hiredAt = s.now
+					m.rentedAt = s.now
 				}
 				m.standing = false // up before the answer that names it
 				s.describe(m, "", r.Type, r.Zone, r.Spot)
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -45,7 +45,7 @@
 	term           uint64
 	leaderNode     string
 	leaderTerm     uint64
-	leaderGrant    uint64
+	leaderLease    uint64
 	leaderStamp    uint64
 	leaderGone     time.Duration // when the key was last seen to go
 	typesStamp     uint64
@@ -116,7 +116,7 @@
 			s.rev = max(s.rev, rev)
 			s.hasRead(sent)
 			s.voter.Since(s.term)
-			s.buryEarlierLife()
+			s.releaseEarlierLife()
 			s.log(slog.LevelInfo, "state loaded", "rev", s.rev, "jobs", len(s.jobs), "machines", len(s.machines))
 		})
 	}
@@ -235,12 +235,12 @@
 		}
 		s.superseded()
 	case it.Key == keyLeader:
-		s.leaderNode, s.leaderTerm, s.leaderGrant, s.leaderStamp = "", 0, 0, 0
+		s.leaderNode, s.leaderTerm, s.leaderLease, s.leaderStamp = "", 0, 0, 0
 		s.leaderGone = s.now
 		if !it.Removed {
 			var v leaderValue
 			if json.Unmarshal(it.Value, &v) == nil {
-				s.leaderNode, s.leaderTerm, s.leaderGrant, s.leaderStamp = v.Node, v.Term, v.Grant, it.Stamp
+				s.leaderNode, s.leaderTerm, s.leaderLease, s.leaderStamp = v.Node, v.Term, v.Lease, it.Stamp
 			}
 		}
 	case it.Key == keyClusterVersion:
@@ -275,7 +275,7 @@
 type leaderValue struct {
 	Node  string `json:"node"`
 	Term  uint64 `json:"term"`
-	Grant uint64 `json:"grant,omitempty"`
+	Lease uint64 `json:"grant,omitempty"`
 }
 
 // termValue is the last term that was won, and by whom.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -10,11 +10,11 @@
 
 // Workers' reports: which are news, which late copies, and what is answered.
 
-// beat takes a worker's report.
-func (s *State) beat(e Beat) {
+// takeReport takes a worker's report.
+func (s *State) takeReport(e ReportIn) {
 	s.unreached = false
 	if !s.Leading() {
-		if s.tenure != nil && s.electedAt != 0 {
+		if s.leadership != nil && s.electedAt != 0 {
 			// Not caught up yet: neither a 200 nor a redirect.
 			s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"not ready to lead"}})
 			return
@@ -28,8 +28,8 @@
 		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"machine was returned"}})
 		return
 	}
-	if r.Epoch>>fenceBits > s.tenure.Term {
-		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.tenure.Term)
+	if r.Epoch>>fenceBits > s.leadership.Term {
+		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.leadership.Term)
 		s.stepDown("a worker has seen a higher term")
 		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"superseded"}})
 		return
@@ -40,7 +40,7 @@
 		m.standing = s.foundFirst()
 	}
 	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
-	h := heldBeat{req: e.Req, m: m, r: r, at: s.now}
+	h := pendingReport{req: e.Req, m: m, r: r, at: s.now}
 	switch {
 	case r.Epoch < m.least && (r.Session != m.session || r.Seq > m.seq):
 		// A worker's epoch only grows: this is from before it began anew, or it
@@ -76,16 +76,16 @@
 // copy. Only the first kind has a worker waiting for the answer, which may
 // renew its lease; it was sent before the newer message came, so that counts
 // as the last contact, and not now: a copy says nothing of now.
-func (s *State) overtaken(h heldBeat) {
+func (s *State) overtaken(h pendingReport) {
 	m := h.m
 	s.lateDones(h.r)
 	s.askAgain(m)
-	m.lastBeat = max(m.lastBeat, m.heard)
-	if !s.unquiet(m) {
-		s.beats = append(s.beats, h)
+	m.lastReplyAt = max(m.lastReplyAt, m.heard)
+	if !s.clearSilence(m) {
+		s.pendingReports = append(s.pendingReports, h)
 		return
 	}
-	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), []model.Order{}}, Until: s.tenure.Until()})
+	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(m), []model.Order{}}, Until: s.leadership.Until()})
 }
 
 // askAgain asks a machine whose report looks old for its own word: a worker
@@ -104,10 +104,10 @@
 // former life may still reach it, which the fence and each task's epoch of
 // doubt take care of.
 func (s *State) begunAnew(m *machine, r *model.Report) {
-	s.log(slog.LevelInfo, "machine has begun anew", "host", m.host, "session", r.Session, "term", s.tenure.Term)
+	s.log(slog.LevelInfo, "machine has begun anew", "host", m.host, "session", r.Session, "term", s.leadership.Term)
 	m.session, m.seq, m.seen = r.Session, 0, 0
-	m.told, m.toldSeq, m.mute, m.adopted = 0, 0, muteness{}, false
-	m.lapsed, m.lastBeat = false, s.now // its new life has a lease of its own
+	m.told, m.toldSeq, m.reach, m.adopted = 0, 0, reachability{}, false
+	m.lapsed, m.lastReplyAt = false, s.now // its new life has a lease of its own
 	for _, t := range m.tasks {
 		// Answers to reports of the former life died with its connections.
 		t.issuedSeq, t.session = 0, r.Session
@@ -122,7 +122,7 @@
 // its report is believed: it may be a late copy, and the machine dead or
 // another leader's business long since. A copy believed would hold the tasks
 // of a dead machine for a lease more.
-func (s *State) prove(h heldBeat) {
+func (s *State) prove(h pendingReport) {
 	m := h.m
 	if m.proof != nil {
 		s.emit(Reply{Req: m.proof.req, Status: 503, Body: Problem{"overtaken"}})
@@ -152,26 +152,26 @@
 }
 
 // accept takes a report as news of its machine.
-func (s *State) accept(h heldBeat) {
+func (s *State) accept(h pendingReport) {
 	m, r := h.m, h.r
-	s.beatAt = s.now
+	s.lastReportAt = s.now
 	s.report(m, r, true)
-	s.unheard(m, r)
-	if m.mute.is {
+	s.checkDelivery(m, r)
+	if m.reach.lost {
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
 		return
 	}
 	if !m.rostered && !m.adopted && !m.direct && s.mayProbe() && m.endpoint != "" {
 		s.command(m, nil, nil) // a new machine is of use as soon as it shows the epoch
 	}
-	m.lastBeat = s.now
-	if !s.unquiet(m) || s.dirty {
+	m.lastReplyAt = s.now
+	if !s.clearSilence(m) || s.dirty {
 		// Place first, so that what was just freed is filled by this answer,
 		// and together with what other reports free in the same moment.
-		s.beats = append(s.beats, h)
+		s.pendingReports = append(s.pendingReports, h)
 		return
 	}
-	s.answerBeat(h)
+	s.answerReport(h)
 }
 
 func (s *State) lateDones(r *model.Report) {
@@ -183,36 +183,36 @@
 	}
 }
 
-// heldBeat is a report whose answer waits for the next round of decisions, or
+// pendingReport is a report whose answer waits for the next round of decisions, or
 // until its machine's mark is off the roster.
-type heldBeat struct {
+type pendingReport struct {
 	req uint64
 	m   *machine
 	r   *model.Report
 	at  time.Duration
 }
 
-func (s *State) answerBeat(h heldBeat) {
-	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session || h.m.lapsed || !s.unquiet(h.m) {
+func (s *State) answerReport(h pendingReport) {
+	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session || h.m.lapsed || !s.clearSilence(h.m) {
 		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"overtaken"}})
 		return
 	}
 	m := h.m
 	m.told, m.toldSeq = s.epoch(m), max(m.toldSeq, h.r.Seq)
-	s.emit(Reply{Req: h.req, Status: 200, Body: BeatReply{s.epoch(m), s.orders(m, h.r)}, Until: s.tenure.Until()})
+	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(m), s.orders(m, h.r)}, Until: s.leadership.Until()})
 }
 
-// answerBeats answers the held reports, but for those whose machine's mark is
+// answerReports answers the held reports, but for those whose machine's mark is
 // still being taken off the roster.
-func (s *State) answerBeats() {
-	beats := s.beats
-	s.beats = nil
-	for _, h := range beats {
-		if s.Leading() && h.m.quietStored != 0 && s.now-h.at < s.cfg.ReportEvery {
-			s.beats = append(s.beats, h)
+func (s *State) answerReports() {
+	pendingReports := s.pendingReports
+	s.pendingReports = nil
+	for _, h := range pendingReports {
+		if s.Leading() && h.m.silentStored != 0 && s.now-h.at < s.cfg.ReportEvery {
+			s.pendingReports = append(s.pendingReports, h)
 			continue
 		}
-		s.answerBeat(h)
+		s.answerReport(h)
 	}
 }
 
@@ -220,8 +220,8 @@
 // a direct command. The caller has checked that it isn't older than the last.
 func (s *State) report(m *machine, r *model.Report, own bool) {
 	if r.Session > m.session {
-		if m.toldSeq != 0 && !m.lapsed && s.now-m.lastBeat < s.cfg.Lease/2 {
-			s.setMute(m, "its lease ran out though it was answered")
+		if m.toldSeq != 0 && !m.lapsed && s.now-m.lastReplyAt < s.cfg.Lease/2 {
+			s.markUnreachable(m, "its lease ran out though it was answered")
 		}
 		for _, name := range ordered(m.tasks) {
 			t := m.tasks[name]
@@ -231,18 +231,18 @@
 			}
 		}
 		// The new session has a lease of its own, which began before now.
-		m.lapsed, m.lastBeat = false, s.now
+		m.lapsed, m.lastReplyAt = false, s.now
 		m.session, m.toldSeq = r.Session, 0
 	}
 	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
 	m.up = true
 	m.least = max(m.least, r.Epoch)
-	s.hears(m, r)
+	s.confirmDelivery(m, r)
 	if r.Epoch >= max(s.epochBase(), m.least) && !m.adopted && !m.lapsed {
 		m.adopted = true
 		s.dirty = true
-		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.tenure.Term, "tasks", len(r.Tasks))
+		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.leadership.Term, "tasks", len(r.Tasks))
 	}
 	if r.Recall != nil {
 		if m.recallAt == 0 {
@@ -257,10 +257,10 @@
 		s.lateDones(r)
 		return
 	}
-	if len(m.strangers) > 0 {
-		clear(m.strangers)
+	if len(m.orphans) > 0 {
+		clear(m.orphans)
 		m.stale = true
-		s.odd = slices.DeleteFunc(s.odd, func(o *machine) bool { return o == m })
+		s.orphaned = slices.DeleteFunc(s.orphaned, func(o *machine) bool { return o == m })
 	}
 	listed := make(map[string]bool, len(r.Tasks))
 	for _, p := range r.Tasks {
@@ -282,7 +282,7 @@
 				s.dirty = true
 			} else if t.state != "" {
 				// It was there and is not any more, in the same session.
-				s.log(slog.LevelError, "task vanished", "task", name, "attempt", t.attempt, "host", m.host, "term", s.tenure.Term)
+				s.log(slog.LevelError, "task vanished", "task", name, "attempt", t.attempt, "host", m.host, "term", s.leadership.Term)
 				s.unbind(t, "vanished")
 			}
 		} else if t.killing && t.directEpoch != 0 && m.fence <= t.directEpoch&(1<<fenceBits-1) {
@@ -320,10 +320,10 @@
 		s.progress(t, p)
 		return
 	}
-	if len(m.strangers) == 0 {
-		s.odd = append(s.odd, m)
+	if len(m.orphans) == 0 {
+		s.orphaned = append(s.orphaned, m)
 	}
-	m.strangers[p.Task] = p
+	m.orphans[p.Task] = p
 	m.stale = true
 }
 
@@ -341,7 +341,7 @@
 	}
 	t.state = p.State
 	if j.Kind == model.Gang {
-		s.gangShows(j, p)
+		s.observeGang(j, p)
 	}
 	if p.State != model.TaskExited {
 		return
@@ -349,7 +349,7 @@
 	if !model.KnownCause(p.Cause) {
 		// Its end is not taken from a word that nobody knows. The machine is asked
 		// to forget it: once it no longer shows the task, that is gone.
-		s.log(slog.LevelError, "task exited with an unknown reason", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+		s.log(slog.LevelError, "task exited with an unknown reason", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
 		return
 	}
 	s.unbind(t, p.Cause)
@@ -366,14 +366,14 @@
 		m.errors++
 		j.retryAt = s.now + s.backoff(j.errors)
 		m.downUntil = s.now + 2*s.backoff(m.errors)
-		s.log(slog.LevelInfo, "task failed", "task", t.name, "attempt", t.attempt, "host", m.host, "term", s.tenure.Term)
+		s.log(slog.LevelInfo, "task failed", "task", t.name, "attempt", t.attempt, "host", m.host, "term", s.leadership.Term)
 	case model.CauseNoRoom, model.CauseBusy:
 		m.downUntil = s.now + s.cfg.ReportEvery
-		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
 	case model.CauseUnknown:
 		j.errors++
 		j.retryAt = s.now + s.backoff(j.errors)
-		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.tenure.Term)
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
 	}
 }
 
@@ -412,9 +412,9 @@
 			}
 		}
 	}
-	for _, name := range ordered(m.strangers) {
+	for _, name := range ordered(m.orphans) {
 		if len(orders) < most {
-			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: m.strangers[name].Attempt, Grace: new(float64)})
+			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: m.orphans[name].Attempt, Grace: new(float64)})
 		}
 	}
 	for _, name := range ordered(m.tasks) {
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -16,9 +16,9 @@
 	Zone     string `json:"zone"`
 	Spot     bool   `json:"spot,omitempty"`
 	Standing bool   `json:"standing,omitempty"`
-	// Quiet says that the machine has not been answered since this time of day
-	// (ms): see markQuiet.
-	Quiet int64 `json:"quiet,omitempty"`
+	// SilentSince says that the machine has not been answered since this time of day
+	// (ms): see recordSilence.
+	SilentSince int64 `json:"quiet,omitempty"`
 }
 
 // bytes bounds what the machine takes in its page.
@@ -53,7 +53,7 @@
 	for _, host := range ordered(hosts) {
 		v := hosts[host]
 		m := s.machine(host)
-		m.pageStored, m.rostered, m.standing, m.quietStored = n, true, v.Standing, v.Quiet
+		m.pageStored, m.rostered, m.standing, m.silentStored = n, true, v.Standing, v.SilentSince
 		if !s.ready || m.page == 0 {
 			m.page = n // a leader's own wish stands: it may be moving the machine
 		}
@@ -90,7 +90,7 @@
 }
 
 func (s *State) unroster(m *machine) {
-	m.rostered, m.quietStored = false, 0
+	m.rostered, m.silentStored = false, 0
 	if !s.Leading() {
 		s.drop(m.host)
 	}
@@ -104,7 +104,7 @@
 	if m.ownKey {
 		s.put(&write{
 			change: Change{Key: dirMachine + m.host, Remove: true}, class: classRoster,
-			leader: s.tenure.Term, deadline: s.now + time.Hour, done: func(outcome) {},
+			leader: s.leadership.Term, deadline: s.now + time.Hour, done: func(outcome) {},
 		})
 	}
 }
@@ -116,7 +116,7 @@
 		return
 	}
 	s.rosterAt = s.now + s.cfg.ReportEvery/12
-	s.markQuiet()
+	s.recordSilence()
 	for _, p := range s.pages {
 		p.bytes = 2
 	}
@@ -200,9 +200,9 @@
 		if m.page != n {
 			continue
 		}
-		hosts[m.host] = rosterValue{m.endpoint, m.typeName, m.zone, m.spot, m.standing, m.quiet}
-		if m.quiet != 0 {
-			m.quietStored = m.quiet // from now on it may be there
+		hosts[m.host] = rosterValue{m.endpoint, m.typeName, m.zone, m.spot, m.standing, m.silentSince}
+		if m.silentSince != 0 {
+			m.silentStored = m.silentSince // from now on it may be there
 		}
 	}
 	p.dirty, p.writing = false, true
@@ -212,47 +212,47 @@
 		change = Change{Key: key, Remove: true}
 	}
 	s.put(&write{
-		change: change, class: classRoster, leader: s.tenure.Term, deadline: s.now + time.Hour,
+		change: change, class: classRoster, leader: s.leadership.Term, deadline: s.now + time.Hour,
 		done: func(r outcome) {
 			p.writing = false
 			if r != written {
 				p.dirty = true
 			}
 			s.dirty = true
-			s.answerBeats()
+			s.answerReports()
 		},
 	})
 }
 
-// markQuiet writes down which machines haven't been answered for a while, and
+// recordSilence writes down which machines haven't been answered for a while, and
 // since when. A successor would otherwise have to give each of them a whole
 // lease from its own election before it may start their tasks elsewhere: with
 // a zone cut off and the leader gone, that doubled the time for which the
 // zone's services were down. Once the mark may be in the state service the
 // machine is not answered before it has been taken away again.
-func (s *State) markQuiet() {
-	if s.cfg.Skew <= 0 || s.now < s.quietAt {
+func (s *State) recordSilence() {
+	if s.cfg.Skew <= 0 || s.now < s.silenceAt {
 		return // how far clocks are apart isn't known
 	}
-	s.quietAt = s.now + max(s.cfg.ReportEvery/6, min(s.cfg.ReportEvery/2, time.Second))
+	s.silenceAt = s.now + max(s.cfg.ReportEvery/6, min(s.cfg.ReportEvery/2, time.Second))
 	after := s.overdueReport(s.cfg.ReportEvery*3/2, s.cfg.ReportEvery*2)
 	for _, m := range s.order {
-		if m.page == 0 || !m.rostered || m.returning || m.quiet != 0 || s.now-m.lastBeat < after {
+		if m.page == 0 || !m.rostered || m.returning || m.silentSince != 0 || s.now-m.lastReplyAt < after {
 			continue
 		}
-		m.quiet = max(1, s.wallAt(m.lastBeat))
+		m.silentSince = max(1, s.wallAt(m.lastReplyAt))
 		s.page(m.page).dirty = true
 	}
 }
 
-// unquiet says whether m may be answered; if its mark may be in the state
+// clearSilence says whether m may be answered; if its mark may be in the state
 // service, that is taken away first.
-func (s *State) unquiet(m *machine) bool {
-	if m.quiet != 0 {
-		m.quiet = 0
+func (s *State) clearSilence(m *machine) bool {
+	if m.silentSince != 0 {
+		m.silentSince = 0
 		s.page(m.page).dirty = true
 	}
-	return m.quietStored == 0
+	return m.silentStored == 0
 }
 
 // wallAt is the time of day at t, in ms, rounded up.
@@ -267,8 +267,8 @@
 	if at, ok := s.handedOver(m); ok {
 		last = min(last, at)
 	}
-	if m.quietStored != 0 && s.cfg.Skew > 0 {
-		ago := time.Duration(s.wall-m.quietStored)*time.Millisecond + (s.now - s.wallRead) - 2*s.cfg.Skew
+	if m.silentStored != 0 && s.cfg.Skew > 0 {
+		ago := time.Duration(s.wall-m.silentStored)*time.Millisecond + (s.now - s.wallRead) - 2*s.cfg.Skew
 		last = min(last, s.now-ago)
 	}
 	return last
--- a/internal/core/slow.go
+++ b/internal/core/slow.go
@@ -73,7 +73,7 @@
 		}
 		m.slow = true
 		s.dirty = true
-		s.log(slog.LevelInfo, "machine is slow", "host", m.host, "signs", signs, "term", s.tenure.Term)
+		s.log(slog.LevelInfo, "machine is slow", "host", m.host, "signs", signs, "term", s.leadership.Term)
 		for _, name := range ordered(m.tasks) {
 			s.moveFromSlow(m.tasks[name])
 		}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -48,7 +48,7 @@
 	machines  map[string]*machine
 	order     []*machine  // all machines by name: whatever goes over them goes in this order
 	pageHosts map[int]int // machines on each page of the roster
-	odd       []*machine  // those with tasks that they shouldn't have
+	orphaned  []*machine  // those with tasks that they shouldn't have
 }
 
 // promise is how long key and promise live: a part of the workers' lease. A
@@ -89,7 +89,7 @@
 	s.cancels.unshared = map[string]uint64{}
 	s.pageHosts = map[int]int{}
 	// Controllers that start together must not all run at the same instant.
-	s.lead.nextBid = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
+	s.lead.campaignAt = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
 	return s
 }
 
@@ -112,8 +112,8 @@
 		s.withdraw(origin{req: e.Req}, e.ID)
 	case Up:
 		s.up(e.Req)
-	case Beat:
-		s.beat(e)
+	case ReportIn:
+		s.takeReport(e)
 	case StoreDone:
 		s.done(e.Call, e)
 	case CloudDone:
@@ -123,7 +123,7 @@
 	case PeerIn:
 		s.peer(e.From, e.Msg)
 	}
-	s.settleDown()
+	s.checkEntitlement()
 	s.pumpSync()
 	s.pumpWriter()
 	if s.dirty && s.now >= s.nextRound && s.Leading() {
@@ -140,7 +140,7 @@
 	s.expireAsks()
 	s.tellWaiting()
 	s.noteVersion()
-	s.hello()
+	s.announceRestart()
 	s.campaign()
 	if !s.Leading() {
 		return
@@ -148,7 +148,7 @@
 	s.lapses()
 	s.recalls()
 	s.findSlow()
-	s.tendGangs()
+	s.reconcileGangs()
 	s.keepRoster()
 	s.keepBitmaps()
 	s.reachOut()
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -69,7 +69,7 @@
 		}
 		t.job.retry = append(t.job.retry, t.index)
 		t.job.lostAt = s.now
-		s.log(slog.LevelDebug, "task waits again", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.tenure.Term)
+		s.log(slog.LevelDebug, "task waits again", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.leadership.Term)
 	}
 }
 
@@ -96,7 +96,7 @@
 func (s *State) kill(t *task, grace float64) {
 	s.stop(t, grace)
 	if t.job.Kind == model.Gang && !t.job.final() {
-		s.breakUp(t.job, grace)
+		s.abortGang(t.job, grace)
 	}
 }
 
--- a/internal/core/handover.go
+++ b/internal/core/transfer.go
@@ -8,18 +8,18 @@
 // cut off, and a leader that lost the state service before it could mark the
 // zone's machines, their replicas were down for the whole of a term more.
 
-// handover is what a leader has said of the machines when its term was over.
-type handover struct {
+// leadershipTransfer is what a leader has said of the machines when its term was over.
+type leadershipTransfer struct {
 	term uint64
 	at   time.Duration  // of its receipt: later than it was said, never earlier
 	ages map[string]int // ms since each was last answered
 }
 
-// handOver tells the peers, once this term has ended for good.
-func (s *State) handOver(term uint64) {
+// transferLeadership tells the peers, once this term has ended for good.
+func (s *State) transferLeadership(term uint64) {
 	ages := map[string]int{}
 	for _, m := range s.order {
-		if ago := s.now - m.lastBeat; m.rostered && ago > s.cfg.ReportEvery {
+		if ago := s.now - m.lastReplyAt; m.rostered && ago > s.cfg.ReportEvery {
 			ages[m.host] = int(ago / time.Millisecond)
 		}
 	}
@@ -33,16 +33,16 @@
 
 // takenFrom takes that in. It may come before this node is elected, or after.
 func (s *State) takenFrom(m PeerMsg) {
-	if m.Term <= s.handed.term {
+	if m.Term <= s.transfer.term {
 		return // a copy, which tells a later time of the same; or of a term before
 	}
-	s.handed = handover{m.Term, s.now, m.Counts}
+	s.transfer = leadershipTransfer{m.Term, s.now, m.Counts}
 	if !s.Leading() {
 		return
 	}
 	for _, m := range s.order {
 		if m.rostered && !m.up && m.told == 0 {
-			m.lastBeat = min(m.lastBeat, s.lastAnswered(m))
+			m.lastReplyAt = min(m.lastReplyAt, s.lastAnswered(m))
 		}
 	}
 }
@@ -51,6 +51,6 @@
 // has said. What an earlier one has said is of no use: the one between may have
 // answered m since.
 func (s *State) handedOver(m *machine) (time.Duration, bool) {
-	ms, ok := s.handed.ages[m.host]
-	return s.handed.at - time.Duration(ms)*time.Millisecond, ok && s.handed.term == s.before
+	ms, ok := s.transfer.ages[m.host]
+	return s.transfer.at - time.Duration(ms)*time.Millisecond, ok && s.transfer.term == s.before
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -126,8 +126,8 @@
 // Up is a health check.
 type Up struct{ Req uint64 }
 
-// Beat is a worker's report on its own initiative.
-type Beat struct {
+// ReportIn is a worker's report on its own initiative.
+type ReportIn struct {
 	Req    uint64
 	Report model.Report
 }
@@ -151,8 +151,8 @@
 	Running int    `json:"running"`
 }
 
-// BeatReply is the body of a 200 to a worker.
-type BeatReply struct {
+// ReportReply is the body of a 200 to a worker.
+type ReportReply struct {
 	Epoch  uint64        `json:"epoch"`
 	Orders []model.Order `json:"orders"`
 }
@@ -175,8 +175,8 @@
 	StoreList   StoreOp = "list"
 	StoreWatch  StoreOp = "watch"
 	StoreTxn    StoreOp = "txn"
-	StoreGrant  StoreOp = "grant"
-	StoreTouch  StoreOp = "touch"
+	StoreLease  StoreOp = "grant"
+	StoreRenew  StoreOp = "touch"
 	StoreRevoke StoreOp = "revoke"
 )
 
@@ -298,18 +298,18 @@
 
 // Kinds of messages between controllers.
 const (
-	MsgHello      = "hello"      // a fresh process asks whether its earlier life is still counted on
-	MsgFree       = "free"       // answers that it isn't
-	MsgClaim      = "claim"      // asks for a promise
-	MsgPromise    = "promise"    // answers it
-	MsgRelease    = "release"    // gives a term up
-	MsgNudge      = "nudge"      // a change that the sender has made durable
-	MsgCounts     = "counts"     // running tasks per job, for display
-	MsgCancelled  = "cancelled"  // cancellations that the receiver may not know of
-	MsgKnown      = "known"      // a leader's acknowledgement of them
-	MsgUnanswered = "unanswered" // machines that a leader had not answered lately when its term ended
-	MsgAsk        = "ask"        // a user's request, from a node without the store
-	MsgAnswer     = "answer"
+	MsgRestarted   = "hello"      // a fresh process asks whether its earlier life is still counted on
+	MsgFree        = "free"       // answers that it isn't
+	MsgVoteRequest = "claim"      // asks for a promise
+	MsgPromise     = "promise"    // answers it
+	MsgRelease     = "release"    // gives a term up
+	MsgNudge       = "nudge"      // a change that the sender has made durable
+	MsgCounts      = "counts"     // running tasks per job, for display
+	MsgCancelled   = "cancelled"  // cancellations that the receiver may not know of
+	MsgKnown       = "known"      // a leader's acknowledgement of them
+	MsgUnanswered  = "unanswered" // machines that a leader had not answered lately when its term ended
+	MsgAsk         = "ask"        // a user's request, from a node without the store
+	MsgAnswer      = "answer"
 )
 
 // PeerMsg is a message between controllers. Sent is the asker's own clock and
--- a/internal/core/version.go
+++ b/internal/core/version.go
@@ -98,7 +98,7 @@
 	p.noted = false
 	s.log(slog.LevelInfo, "a controller runs a former version again", "controller", node, "version", version)
 	s.put(&write{
-		change: Change{Key: dirVersions + node, Remove: true}, leader: s.tenure.Term,
+		change: Change{Key: dirVersions + node, Remove: true}, leader: s.leadership.Term,
 		deadline: s.now + time.Hour, class: classRoster, done: func(outcome) {},
 	})
 }
@@ -116,7 +116,7 @@
 	}
 	s.raisingVersion = true
 	s.put(&write{
-		change: Change{Key: keyClusterVersion, Value: raw(clusterVersionValue{s.cfg.Version})}, leader: s.tenure.Term,
+		change: Change{Key: keyClusterVersion, Value: raw(clusterVersionValue{s.cfg.Version})}, leader: s.leadership.Term,
 		deadline: s.now + 10*time.Second, class: classRoster,
 		done: func(outcome) { s.raisingVersion = false },
 	})
--- a/internal/core/version_test.go
+++ b/internal/core/version_test.go
@@ -197,8 +197,8 @@
 	if j := s.jobs["req-000009"]; j == nil || j.phase != model.PhaseAborted {
 		t.Errorf("req-000009 is %+v, was cancelled", j)
 	}
-	if s.term != 3 || s.leaderNode != "n0" || s.leaderGrant != 3 || len(s.typeList) != 1 || s.types["small"].CacheGB != 20 {
-		t.Errorf("term %d, leader %s by lease %d, %d types", s.term, s.leaderNode, s.leaderGrant, len(s.typeList))
+	if s.term != 3 || s.leaderNode != "n0" || s.leaderLease != 3 || len(s.typeList) != 1 || s.types["small"].CacheGB != 20 {
+		t.Errorf("term %d, leader %s by lease %d, %d types", s.term, s.leaderNode, s.leaderLease, len(s.typeList))
 	}
 	for _, m := range s.machines {
 		if !m.rostered || m.endpoint != "w"+m.host || m.typeName != "small" || m.page != 1 {
@@ -245,9 +245,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := alone()
 			s.cfg.Version, s.cfg.Peers, s.peers = NewestVersion, []string{"n1"}, map[string]*peerState{"n1": {}}
-			s.loaded, s.hasTouch, s.ready, s.tenure = true, true, true, newTenure(s)
+			s.loaded, s.hasTouch, s.ready, s.leadership = true, true, true, newLeadership(s)
 			s.now = 10 * time.Minute
-			s.tenure.Promised(s.now, "n0", s.now)
+			s.leadership.Promised(s.now, "n0", s.now)
 			s.electedAt = s.now - c.elected
 			if c.note > 0 {
 				s.apply(Item{Key: dirVersions + "n1", Value: raw(nodeVersionValue{c.note}), Stamp: 5})
@@ -276,7 +276,7 @@
 		s := alone()
 		s.cfg.ValueBytes, s.clusterVersion = 2048, version
 		s.loaded, s.hasTouch, s.ready = true, true, true
-		s.tenure = newTenure(s)
+		s.leadership = newLeadership(s)
 		s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Tasks: tasks, Kind: model.Batch}}), Stamp: 5})
 		return s, s.jobs["req-000001"]
 	}
@@ -336,7 +336,7 @@
 		hosts[model.TaskName("n", 100+i)] = rosterValue{Endpoint: "10.1.0.7:9000", Type: "biniou-quatre", Zone: "quimper-a", Standing: true}
 	}
 	s.apply(Item{Key: dirPage + "1", Value: raw(hosts), Stamp: 5})
-	s.tenure, s.ready = newTenure(s), true
+	s.leadership, s.ready = newLeadership(s), true
 	s.takeOver()
 	s.page(1).dirty = true
 	at := map[string]int{} // machine: page, as stored
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -15,8 +15,8 @@
 // be on the roster it isn't: a session that has begun since has a lease that no
 // successor would know of.
 func (s *State) usable(m *machine) bool {
-	return m.adopted && m.rostered && m.quietStored == 0 && !m.lapsed && !m.slow && !m.returning && !m.mute.is && m.recallAt == 0 && m.typ != nil &&
-		s.now >= m.downUntil && s.now-m.lastBeat < s.silence()
+	return m.adopted && m.rostered && m.silentStored == 0 && !m.lapsed && !m.slow && !m.returning && !m.reach.lost && m.recallAt == 0 && m.typ != nil &&
+		s.now >= m.downUntil && s.now-m.lastReplyAt < s.silence()
 }
 
 // silence is how long a machine may go without a report before it counts as
@@ -53,8 +53,8 @@
 		}
 		v.Add(sched.Running{Need: need, End: end})
 	}
-	for name := range m.strangers {
-		if j := s.strangerJob(name); j != nil {
+	for name := range m.orphans {
+		if j := s.orphanJob(name); j != nil {
 			v.Free = v.Free.Sub(j.need())
 		} else {
 			v.Free = sched.Resources{} // unknown size: wait until it is gone
@@ -69,10 +69,10 @@
 	v.Fetching = kept
 }
 
-// strangerJob is the job of a task that is on a machine and shouldn't be; nil
+// orphanJob is the job of a task that is on a machine and shouldn't be; nil
 // where its description isn't known: a job that is over is kept without it,
 // and a leader that wasn't up before knows no more.
-func (s *State) strangerJob(task string) *job {
+func (s *State) orphanJob(task string) *job {
 	id, _, _ := model.SplitTask(task)
 	if j := s.jobs[id]; j != nil && j.Team != "" {
 		return j
@@ -92,7 +92,7 @@
 
 func (e *roundEnv) Spent() bool { return e.s.cfg.Budget > 0 && e.elapsed() >= e.s.cfg.Budget }
 
-func (e *roundEnv) touch(m *machine) {
+func (e *roundEnv) markTouched(m *machine) {
 	if !slices.Contains(e.touched, m) {
 		e.touched = append(e.touched, m)
 	}
@@ -111,7 +111,7 @@
 	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
 		return false
 	}
-	if j.Kind == model.Gang && j.gang.shunned[m.host] {
+	if j.Kind == model.Gang && j.gang.excluded[m.host] {
 		return false
 	}
 	here := j.zones[m.zone]
@@ -136,9 +136,9 @@
 		return false
 	}
 	used := s.teams[j.Team]
-	for _, m := range s.odd {
-		for name := range m.strangers {
-			o := s.strangerJob(name)
+	for _, m := range s.orphaned {
+		for name := range m.orphans {
+			o := s.orphanJob(name)
 			if o == nil {
 				return false // whose it is isn't known: it may be this team's
 			}
@@ -163,7 +163,7 @@
 	s.attempts++
 	t := &task{
 		job: j, index: i, name: model.TaskName(j.ID, i), m: m, session: m.session,
-		attempt: s.tenure.Term<<attemptBits | s.attempts,
+		attempt: s.leadership.Term<<attemptBits | s.attempts,
 	}
 	if j.Kind == model.Gang {
 		if len(j.tasks) == 0 {
@@ -195,8 +195,8 @@
 		m.keptFor = nil
 	}
 	s.paths[path]++
-	e.touch(m)
-	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.tenure.Term)
+	e.markTouched(m)
+	s.log(slog.LevelDebug, "task placed", "task", t.name, "attempt", t.attempt, "host", m.host, "path", string(path), "term", s.leadership.Term)
 	return true
 }
 
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -87,7 +87,7 @@
 	waiting := s.queue
 	s.queue = nil // what the callbacks below add is kept behind
 	for _, w := range waiting {
-		if w.leader != 0 && (!s.Leading() || s.tenure.Term != w.leader) {
+		if w.leader != 0 && (!s.Leading() || s.leadership.Term != w.leader) {
 			w.done(failed)
 			continue
 		}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -132,8 +132,8 @@
 // Top is the highest term that this voter has supported.
 func (v *Voter) Top() uint64 { return v.top }
 
-// Tenure is the acting side: a candidacy that may become leadership.
-type Tenure struct {
+// Leadership is the acting side: a candidacy that may become leadership.
+type Leadership struct {
 	cfg  Config
 	Term uint64
 	// Stamp is the version of the term before, as known when the candidacy
@@ -153,14 +153,14 @@
 	ended    bool
 }
 
-// NewTenure starts a candidacy for term at now; stamp is the version of the
+// NewLeadership starts a candidacy for term at now; stamp is the version of the
 // term before.
-func NewTenure(cfg Config, now time.Duration, term, stamp uint64) *Tenure {
-	return &Tenure{cfg: cfg, Term: term, Stamp: stamp, began: now, support: map[string]time.Duration{}, leases: map[string]time.Duration{}}
+func NewLeadership(cfg Config, now time.Duration, term, stamp uint64) *Leadership {
+	return &Leadership{cfg: cfg, Term: term, Stamp: stamp, began: now, support: map[string]time.Duration{}, leases: map[string]time.Duration{}}
 }
 
 // Read notes a complete read of the state service that was sent at sent.
-func (t *Tenure) Read(sent time.Duration) {
+func (t *Leadership) Read(sent time.Duration) {
 	t.read = max(t.read, sent)
 	t.refresh()
 }
@@ -169,7 +169,7 @@
 // is the latest time at which the grantor's process can have begun, Loaded says
 // that the grantor has told of all that was confirmed before that too: what its
 // earlier life confirmed after its own last read lease, nobody else can tell.
-func (t *Tenure) LeasedRead(node string, sent, born time.Duration, loaded bool) {
+func (t *Leadership) LeasedRead(node string, sent, born time.Duration, loaded bool) {
 	if !loaded && born > max(t.read, t.leases[node]) {
 		return
 	}
@@ -177,7 +177,7 @@
 	t.refresh()
 }
 
-func (t *Tenure) refresh() {
+func (t *Leadership) refresh() {
 	oldest := t.read
 	if len(t.leases) == t.cfg.Nodes-1 && t.cfg.Nodes > 1 {
 		first := true
@@ -192,10 +192,10 @@
 }
 
 // Current is until when the view is recent enough.
-func (t *Tenure) Current() time.Duration { return t.current }
+func (t *Leadership) Current() time.Duration { return t.current }
 
 // Promised notes a supporter's promise; sent is when it was asked for.
-func (t *Tenure) Promised(now time.Duration, node string, sent time.Duration) {
+func (t *Leadership) Promised(now time.Duration, node string, sent time.Duration) {
 	// A promise that was asked for by an earlier candidacy doesn't count: its
 	// giver may have been told since that nobody relies on it.
 	if t.lapsed(now) || sent < t.began {
@@ -210,7 +210,7 @@
 // Elected notes that the key was created under this term, by a request sent
 // at sent. It fails when the promises have run out in the meantime: without
 // them nothing shows that the former leader has stopped.
-func (t *Tenure) Elected(now, sent time.Duration) bool {
+func (t *Leadership) Elected(now, sent time.Duration) bool {
 	if t.ended || now >= t.majority {
 		t.ended = true
 		return false
@@ -222,7 +222,7 @@
 }
 
 // Renewed notes that the leased key was renewed by a request sent at sent.
-func (t *Tenure) Renewed(now, sent time.Duration) {
+func (t *Leadership) Renewed(now, sent time.Duration) {
 	if t.lapsed(now) {
 		return
 	}
@@ -232,14 +232,14 @@
 }
 
 // KeyLost notes that the state service no longer holds our key.
-func (t *Tenure) KeyLost() { t.hasKey = false }
+func (t *Leadership) KeyLost() { t.hasKey = false }
 
-func (t *Tenure) shrink(d time.Duration) time.Duration {
+func (t *Leadership) shrink(d time.Duration) time.Duration {
 	return d - time.Duration(float64(d)*2*t.cfg.Drift) - time.Millisecond
 }
 
 // KeyUntil is when the leased key may end.
-func (t *Tenure) KeyUntil() time.Duration {
+func (t *Leadership) KeyUntil() time.Duration {
 	if !t.hasKey {
 		return 0
 	}
@@ -247,7 +247,7 @@
 }
 
 // lastMajority is when the last majority of promises may end.
-func (t *Tenure) lastMajority() time.Duration {
+func (t *Leadership) lastMajority() time.Duration {
 	need := t.cfg.Nodes/2 + 1
 	if len(t.support) < need {
 		return 0
@@ -267,10 +267,10 @@
 }
 
 // Supported says whether a majority of promises stands at now.
-func (t *Tenure) Supported(now time.Duration) bool { return now < t.majority }
+func (t *Leadership) Supported(now time.Duration) bool { return now < t.majority }
 
 // Until is the time up to which this tenure may act as far as is known.
-func (t *Tenure) Until() time.Duration {
+func (t *Leadership) Until() time.Duration {
 	if !t.elected || t.ended {
 		return 0
 	}
@@ -282,7 +282,7 @@
 }
 
 // lapsed ends an elected tenure whose entitlement has run out.
-func (t *Tenure) lapsed(now time.Duration) bool {
+func (t *Leadership) lapsed(now time.Duration) bool {
 	if t.elected && now >= t.Until() {
 		t.ended = true
 	}
@@ -291,9 +291,9 @@
 
 // Entitled says whether this tenure may act at now. Once it may not, it never
 // may again.
-func (t *Tenure) Entitled(now time.Duration) bool {
+func (t *Leadership) Entitled(now time.Duration) bool {
 	return t.elected && !t.lapsed(now)
 }
 
 // End gives the tenure up.
-func (t *Tenure) End() { t.ended = true }
+func (t *Leadership) End() { t.ended = true }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -60,12 +60,12 @@
 }
 
 func TestTenureNeedsMajorityThenKey(t *testing.T) {
-	n := NewTenure(cfg, 0, 7, 0)
+	n := NewLeadership(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	if n.Elected(ms(10), 0) {
 		t.Fatal("elected by one of three")
 	}
-	n = NewTenure(cfg, 0, 7, 0)
+	n = NewLeadership(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	n.Promised(ms(5), "b", 0)
 	if n.Entitled(ms(6)) {
@@ -77,7 +77,7 @@
 }
 
 func TestEitherHoldsCarriesOn(t *testing.T) {
-	n := NewTenure(cfg, 0, 7, 0)
+	n := NewLeadership(cfg, 0, 7, 0)
 	n.Promised(0, "a", 0)
 	n.Promised(0, "b", 0)
 	if !n.Elected(ms(10), 0) {
@@ -109,7 +109,7 @@
 }
 
 func TestPromiseOfAnEarlierCandidacyDoesNotCount(t *testing.T) {
-	n := NewTenure(cfg, ms(100), 7, 0)
+	n := NewLeadership(cfg, ms(100), 7, 0)
 	n.Promised(ms(110), "a", ms(100))
 	n.Promised(ms(110), "b", ms(90)) // asked for before this candidacy
 	if n.Supported(ms(120)) {
@@ -157,24 +157,27 @@
 	// A leader elected at 0 that is supported for ever; its last read was then.
 	tenures := []struct {
 		why  string
-		do   func(t *Tenure)
+		do   func(t *Leadership)
 		want int // acts until, in whole seconds
 	}{
-		{"its last read bounds it", func(t *Tenure) {}, 9},
-		{"a later read", func(t *Tenure) { t.Read(ms(4000)) }, 13},
-		{"a read lease of one of two is worth nothing", func(t *Tenure) { t.LeasedRead("b", ms(3000), 0, true) }, 9},
-		{"read leases of both", func(t *Tenure) { t.LeasedRead("b", ms(3000), 0, true); t.LeasedRead("c", ms(5000), 0, true) }, 32},
-		{"one is from a life that began after the last read", func(t *Tenure) { t.LeasedRead("b", ms(3000), ms(2500), false); t.LeasedRead("c", ms(5000), 0, true) }, 9},
-		{"that life has read the state itself", func(t *Tenure) { t.LeasedRead("b", ms(3000), ms(2500), true); t.LeasedRead("c", ms(5000), 0, true) }, 32},
-		{"it began while the lease of the one before ran", func(t *Tenure) {
+		{"its last read bounds it", func(t *Leadership) {}, 9},
+		{"a later read", func(t *Leadership) { t.Read(ms(4000)) }, 13},
+		{"a read lease of one of two is worth nothing", func(t *Leadership) { t.LeasedRead("b", ms(3000), 0, true) }, 9},
+		{"read leases of both", func(t *Leadership) { t.LeasedRead("b", ms(3000), 0, true); t.LeasedRead("c", ms(5000), 0, true) }, 32},
+		{"one is from a life that began after the last read", func(t *Leadership) {
+			t.LeasedRead("b", ms(3000), ms(2500), false)
+			t.LeasedRead("c", ms(5000), 0, true)
+		}, 9},
+		{"that life has read the state itself", func(t *Leadership) { t.LeasedRead("b", ms(3000), ms(2500), true); t.LeasedRead("c", ms(5000), 0, true) }, 32},
+		{"it began while the lease of the one before ran", func(t *Leadership) {
 			t.LeasedRead("b", ms(3000), 0, true)
 			t.LeasedRead("b", ms(9000), ms(8000), false)
 			t.LeasedRead("c", ms(9000), 0, true)
 		}, 38},
-		{"a late message changes nothing", func(t *Tenure) { t.Read(ms(4000)); t.Read(ms(1000)) }, 13},
+		{"a late message changes nothing", func(t *Leadership) { t.Read(ms(4000)); t.Read(ms(1000)) }, 13},
 	}
 	for _, x := range tenures {
-		ten := NewTenure(c, 0, 4, 3)
+		ten := NewLeadership(c, 0, 4, 3)
 		ten.Promised(0, "a", 0)
 		ten.Promised(0, "b", 0)
 		if !ten.Elected(0, 0) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,7 +24,7 @@
 		asked: map[uint64]question{}, questions: make(chan question, 64), urgent: make(chan core.Event, 64)}
 	n.state = core.New(core.Config{Self: "a", Peers: []string{"b"}, ReportEvery: time.Second, Lease: 10 * time.Second, StoreRPS: 10, StoreWrites: 10, CloudRPS: 10}, 0)
 	for i := range 32 {
-		n.questions <- question{id: uint64(i), event: core.Beat{Req: uint64(i)}, until: time.Hour, reply: make(chan core.Reply, 1)}
+		n.questions <- question{id: uint64(i), event: core.ReportIn{Req: uint64(i)}, until: time.Hour, reply: make(chan core.Reply, 1)}
 		n.urgent <- core.PeerIn{From: "b", Msg: core.PeerMsg{Kind: core.MsgNudge}}
 	}
 	for range 32 {
@@ -48,7 +48,7 @@
 	ask := func(wait time.Duration) chan end {
 		done := make(chan end, 1)
 		go func() {
-			r, ok := n.Ask(func(req uint64) core.Event { return core.Beat{Req: req} }, wait, func() {})
+			r, ok := n.Ask(func(req uint64) core.Event { return core.ReportIn{Req: req} }, wait, func() {})
 			done <- end{r.Status, ok}
 		}()
 		return done
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,7 +11,7 @@
 
 func TestFramesRoundTrip(t *testing.T) {
 	msgs := []core.PeerMsg{
-		{Kind: core.MsgClaim, Term: 7, Sent: 3 * time.Second, StoreOK: true, StoreAge: time.Millisecond},
+		{Kind: core.MsgVoteRequest, Term: 7, Sent: 3 * time.Second, StoreOK: true, StoreAge: time.Millisecond},
 		{Kind: core.MsgNudge, Key: "k", Value: []byte(`{"a":1}`), Stamp: 1 << 52},
 		{Kind: core.MsgCounts, Counts: map[string]int{"req-000001": 3}},
 	}
--- a/internal/standin/bench_test.go
+++ b/internal/sim/bench_test.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"fmt"
@@ -52,7 +52,7 @@
 			n, keys := w.Leader(), sortedKeys(w.Workers)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				n.State.Step(n.clock(), core.Beat{Req: 1, Report: w.Workers[keys[i%len(keys)]].report()})
+				n.State.Step(n.clock(), core.ReportIn{Req: 1, Report: w.Workers[keys[i%len(keys)]].report()})
 			}
 		})
 	}
--- a/internal/standin/check_test.go
+++ b/internal/sim/check_test.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"strings"
@@ -13,7 +13,7 @@
 func edit(e core.Effect, f func([]model.Order) []model.Order) core.Effect {
 	switch e := e.(type) {
 	case core.Reply:
-		if b, ok := e.Body.(core.BeatReply); ok {
+		if b, ok := e.Body.(core.ReportReply); ok {
 			b.Orders = f(b.Orders)
 			e.Body = b
 			return e
--- a/internal/standin/grown_test.go
+++ b/internal/sim/grown_test.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"fmt"
@@ -298,7 +298,7 @@
 		}
 		i := 0
 		return testing.AllocsPerRun(200, func() {
-			out := n.State.Step(n.clock(), core.Beat{Req: 1, Report: reports[i]})
+			out := n.State.Step(n.clock(), core.ReportIn{Req: 1, Report: reports[i]})
 			i++
 			if len(out) == 0 {
 				t.Fatal("no answer at once")
@@ -458,12 +458,12 @@
 		if n == nil {
 			t.Fatal("nobody leads")
 		}
-		c.looks = float64(n.State.Looks()) / float64(g.machines)
+		c.looks = float64(n.State.MachinesScanned()) / float64(g.machines)
 		wk := g.Workers[sortedKeys(g.Workers)[zone]]
 		rep := wk.report()
 		c.allocs = testing.AllocsPerRun(100, func() {
 			rep.Seq++
-			n.State.Step(n.clock(), core.Beat{Req: 1, Report: rep})
+			n.State.Step(n.clock(), core.ReportIn{Req: 1, Report: rep})
 		})
 		all = append(all, c)
 	}
--- a/internal/standin/store.go
+++ b/internal/sim/store.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"encoding/json"
@@ -169,11 +169,11 @@
 				last[it.Key]++
 			}
 		}
-	case core.StoreGrant:
+	case core.StoreLease:
 		s.next++
 		s.leases[s.next] = &lease{c.Life, s.w.Now + c.Life}
 		d.Lease = s.next
-	case core.StoreTouch:
+	case core.StoreRenew:
 		l := s.leases[c.Lease]
 		if l == nil {
 			d.Status = 404
--- a/internal/standin/trace_test.go
+++ b/internal/sim/trace_test.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"flag"
@@ -300,7 +300,7 @@
 				late := rep
 				late.Seq -= uint64(i % 5)
 				w.After(time.Duration(i)*second, func() {
-					w.Leader().ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: late} }, func(core.Reply) {})
+					w.Leader().ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: late} }, func(core.Reply) {})
 				})
 			}
 		})
@@ -315,7 +315,7 @@
 				late := rep
 				late.Seq += uint64(i)
 				w.After(time.Duration(i)*700*time.Millisecond, func() {
-					w.Leader().ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: late} }, func(core.Reply) {})
+					w.Leader().ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: late} }, func(core.Reply) {})
 				})
 			}
 		})
--- a/internal/standin/worker.go
+++ b/internal/sim/worker.go
@@ -1,4 +1,4 @@
-package standin
+package sim
 
 import (
 	"time"
@@ -204,7 +204,7 @@
 		// A copy of the report comes late, to whichever controller.
 		late, to := rep, w.Nodes[w.Rnd.IntN(len(w.Nodes))]
 		w.After(time.Second+time.Duration(w.Rnd.Int64N(int64(3*w.Opt.Config.Lease))), func() {
-			to.ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: late} }, func(core.Reply) {})
+			to.ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: late} }, func(core.Reply) {})
 		})
 	}
 	if w.ForNext > 0 && w.Rnd.Float64() < w.ForNext {
@@ -219,7 +219,7 @@
 		next(time.Second, (wk.target+1)%len(w.Nodes))
 		return
 	}
-	node.ask(wk.info.Endpoint, func(req uint64) core.Event { return core.Beat{Req: req, Report: rep} }, func(r core.Reply) {
+	node.ask(wk.info.Endpoint, func(req uint64) core.Event { return core.ReportIn{Req: req, Report: rep} }, func(r core.Reply) {
 		if wk.dead || wk.inFlight != number {
 			return // given up: dropped
 		}
@@ -233,7 +233,7 @@
 		switch r.Status {
 		case 200:
 			wk.inFlight = 0
-			body := r.Body.(core.BeatReply)
+			body := r.Body.(core.ReportReply)
 			if session != wk.session || body.Epoch < wk.epoch || body.Epoch == 0 {
 				return
 			}
--- a/internal/standin/world.go
+++ b/internal/sim/world.go
@@ -1,8 +1,8 @@
-// Package standin holds stand-ins for all that the service deals with — state
+// Package sim simulates all that the service deals with — state
 // service, cloud, workers, users and the network between them — on a virtual
 // clock, and a checker of the rules. Whole-service tests run several cores
 // against them: no sockets, no waiting, and the same seed gives the same day.
-package standin
+package sim
 
 import (
 	"container/heap"
@@ -467,7 +467,7 @@
 		w.led = l
 		for _, r := range w.kept {
 			for _, n := range w.Nodes {
-				n.ask("copy", func(req uint64) core.Event { return core.Beat{Req: req, Report: r} }, func(core.Reply) {})
+				n.ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: r} }, func(core.Reply) {})
 			}
 		}
 		w.kept = nil
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -112,9 +112,9 @@
 			}
 		}
 		method, path, body = http.MethodPost, "/multi", t
-	case core.StoreGrant:
+	case core.StoreLease:
 		method, path, body = http.MethodPost, "/grants", map[string]int64{"lifeMs": call.Life.Milliseconds()}
-	case core.StoreTouch:
+	case core.StoreRenew:
 		method, path = http.MethodPost, fmt.Sprintf("/grants/%d/touch", call.Lease)
 	case core.StoreRevoke:
 		method, path = http.MethodDelete, fmt.Sprintf("/grants/%d", call.Lease)
--- a/internal/statestore/statestore_test.go
+++ b/internal/statestore/statestore_test.go
@@ -33,8 +33,8 @@
 			{Key: "a/b", Value: json.RawMessage(`{"v":1}`), Lease: 7}, {Key: "c/d", Remove: true}}},
 			`POST /multi {"guards":[{"k":"a/b","stamp":0}],"then":[{"set":"a/b","value":{"v":1},"tether":7},{"remove":"c/d"}]}`, 409,
 			`{"failed":["a/b"],"ledgerRev":431}`, core.StoreDone{Status: 409, Rev: 431, Failed: []string{"a/b"}}, ""},
-		{core.StoreCall{Op: core.StoreGrant, Life: 5 * time.Second}, `POST /grants {"lifeMs":5000}`, 200, `{"tether":7}`, core.StoreDone{Status: 200, Lease: 7}, ""},
-		{core.StoreCall{Op: core.StoreTouch, Lease: 7}, `POST /grants/7/touch `, 404, ``, core.StoreDone{Status: 404}, ""},
+		{core.StoreCall{Op: core.StoreLease, Life: 5 * time.Second}, `POST /grants {"lifeMs":5000}`, 200, `{"tether":7}`, core.StoreDone{Status: 200, Lease: 7}, ""},
+		{core.StoreCall{Op: core.StoreRenew, Lease: 7}, `POST /grants/7/touch `, 404, ``, core.StoreDone{Status: 404}, ""},
 		{core.StoreCall{Op: core.StoreRevoke, Lease: 7}, `DELETE /grants/7 `, 503, `{"error":"trouble"}`, core.StoreDone{Status: 503, Err: "trouble"}, ""},
 	}
 	for _, c := range cases {
