--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -7,8 +7,8 @@
 	"mulleinfall/internal/model"
 )
 
-// A machine can be out of earshot: its reports arrive, but answers and
-// commands don't reach it. It then looks healthy, while what is sent to it
+// A machine can be reachable in one direction only: its reports arrive, but
+// answers and commands don't reach it. It then looks healthy, while what is sent to it
 // never starts, its lease runs out, and each new session draws the same work
 // again because it holds the image. A report received is neither a lease
 // renewed nor an order carried out, so the leader looks for signs that its
@@ -24,7 +24,7 @@
 	until time.Duration // not trusted before
 }
 
-// maxMissedDeliveries is how many signs in a row make a machine mute: one answer or
+// maxMissedDeliveries is how many signs in a row make a machine unreachable: one answer or
 // command can be lost.
 const maxMissedDeliveries = 2
 
@@ -71,7 +71,7 @@
 	if m.reach.times++; m.reach.times == 1 {
 		m.reach.since = s.now
 	}
-	s.log(slog.LevelInfo, "machine is out of earshot", "host", m.host, "why", why, "term", s.leadership.Term)
+	s.log(slog.LevelInfo, "machine is unreachable", "host", m.host, "why", why, "term", s.leadership.Term)
 	s.dirty = true
 }
 
@@ -79,7 +79,7 @@
 func (s *State) confirmDelivery(m *machine, r *model.Report) {
 	if m.reach.lost && r.Epoch >= m.reach.epoch && s.now >= m.reach.until {
 		m.reach.lost = false
-		s.log(slog.LevelInfo, "machine hears again", "host", m.host, "term", s.leadership.Term)
+		s.log(slog.LevelInfo, "machine is reachable again", "host", m.host, "term", s.leadership.Term)
 		s.dirty = true
 	}
 }
