Rent for a gang whole or not at all, less and less often where the cloud lacks it

The plan now gives up a gang of which a part finds no room, and after machines were rented for it in vain the next try waits for a lease, doubled each time up to 64.

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -19,6 +19,14 @@
 	// excluded are the machines on which a task of this attempt has ended: they
 	// would take another start of it for a repeat.
 	excluded map[string]bool
+
+	// Of a gang that waits: whether machines were rented for it since it last
+	// found that the cloud doesn't give enough, how often that was, and when they
+	// are rented for it again.
+	rented     bool
+	rentPauses int
+	rentAt     time.Duration
+	preemptAt  time.Duration // room is looked for by stopping others' work; not before
 }
 
 // gangReady says whether tasks of j may be placed now: all of them, or those
@@ -130,8 +138,8 @@
 	}
 	for _, id := range ordered(s.active) {
 		j := s.active[id]
-		if j.Kind != model.Gang {
-			continue
+		if j.Kind != model.Gang || j.gang.rentPauses > 0 {
+			continue // not what can't be had even for a gang that waits
 		}
 		if g, ok := s.gangsSeen[j.Class]; !ok || j.Tasks >= g.job.Tasks || s.now-g.at > s.spareTime() {
 			s.gangsSeen[j.Class] = seenGang{j, s.now}
@@ -141,7 +149,7 @@
 	for _, class := range ordered(s.gangsSeen) {
 		g := s.gangsSeen[class]
 		start := s.cfg.Goals[class].Start
-		if s.now-g.at > s.spareTime() || start == 0 || start > s.soonestBoot()*3/2 {
+		if s.now-g.at > s.spareTime() || s.tooLarge(g.job) || start == 0 || start > s.soonestBoot()*3/2 {
 			continue
 		}
 		if best == nil || float64(g.job.Tasks)*g.job.CPUs > float64(best.Tasks)*best.CPUs {
@@ -156,6 +164,9 @@
 	return spare
 }
 
+// tooLarge says whether the cloud didn't give enough for a gang that still waits.
+func (s *State) tooLarge(j *job) bool { return !j.final() && j.gang.rentPauses > 0 }
+
 // spareTime is for how long room is kept free after the last gang: machines that
 // then have nothing to do go back.
 func (s *State) spareTime() time.Duration { return 2 * s.soonestBoot() }
--- a/internal/core/preempt_gang.go
+++ b/internal/core/preempt_gang.go
@@ -32,6 +32,10 @@
 	return c
 }
 
+// preemptionsPerReport is how often at most room is looked for, for one gang, in
+// a worker's report interval: between reports little changes.
+const preemptionsPerReport = 6
+
 // gangEviction is a complete choice: with it all waiting tasks of a gang fit.
 type gangEviction struct {
 	eviction
@@ -45,9 +49,11 @@
 // which is free already included, is kept until the gang takes it.
 func (s *State) preemptForGang(j *job, env *roundEnv, used map[string]sched.Resources) {
 	n := j.entry.Waiting
-	if s.roomReserved(j) > 0 || !s.withinLimit(j, n) {
+	if s.now < j.gang.preemptAt || s.roomReserved(j) > 0 || !s.withinLimit(j, n) {
 		return
 	}
+	// Going over the fleet for each gang in each round would take the rounds' time.
+	j.gang.preemptAt = s.now + s.cfg.ReportEvery/preemptionsPerReport
 	var best *gangEviction
 	for _, zone := range gangZones(j, env.views) {
 		if env.Spent() {
@@ -84,12 +90,9 @@
 // loss first, or returns nil if there is none.
 func (s *State) evictInZone(j *job, n int, zone string, env *roundEnv, used map[string]sched.Resources) *gangEviction {
 	e := &gangEviction{eviction: eviction{s: s, job: j, used: maps.Clone(used), wholeGang: s.guaranteed(j, n, used)}}
+	machines := s.machinesFor(j, n, zone, env)
 	var open candidateHeap
-	for _, v := range env.views {
-		m := v.Ref.(*machine)
-		if zone != "" && m.zone != zone || !v.Capacity.Fits(j.need()) || !s.allowed(j, m) {
-			continue
-		}
+	for _, m := range machines {
 		if c, ok := e.cheapestOn(m); ok {
 			open = append(open, c)
 		}
@@ -125,3 +128,22 @@
 	}
 	return e
 }
+
+// machinesFor lists the machines in a zone (""; in any) that j may use, or nothing
+// where all of them empty wouldn't hold n of its tasks.
+func (s *State) machinesFor(j *job, n int, zone string, env *roundEnv) []*machine {
+	var list []*machine
+	room := 0
+	for _, v := range env.views {
+		m := v.Ref.(*machine)
+		if zone != "" && m.zone != zone || !v.Capacity.Fits(j.need()) || !s.allowed(j, m) {
+			continue
+		}
+		list = append(list, m)
+		room += sched.TasksIn(v.Capacity, j.need())
+	}
+	if room < n {
+		return nil
+	}
+	return list
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -9,6 +9,7 @@
 
 	"mulleinfall/internal/fleet"
 	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
 )
 
 // Renting: what waits against what is there and on its way.
@@ -25,14 +26,35 @@
 }
 
 // rentMore rents for the tasks that found no room, and for the room to keep
-// free for services.
+// free for services and gangs.
 func (s *State) rentMore() {
 	if s.renting > 0 {
 		return // what is asked for already must not be asked for twice
 	}
+	wants := s.wants()
+	if len(wants) == 0 {
+		return
+	}
+	have := map[string]int{}
+	for _, m := range s.order {
+		have[m.zone]++
+	}
+	rentals, unmet := fleet.Plan(wants, s.coming(), s.offers(have), s.rentalLimit())
+	for _, id := range unmet {
+		s.postponeRentals(id)
+	}
+	for _, r := range rentals {
+		s.rent(r)
+	}
+}
+
+// wants lists what waits, most urgent first, and the room to keep free.
+func (s *State) wants() []fleet.Want {
 	var wants []fleet.Want
-	queue := s.queueForFleet()
-	for _, j := range queue {
+	for _, j := range s.queueForFleet() {
+		if s.now < j.gang.rentAt {
+			continue
+		}
 		w := s.want(j, j.waiting())
 		w.Patient = !s.pressing(j)
 		wants = append(wants, w)
@@ -43,56 +65,78 @@
 		wants = append(wants, s.want(spare, s.cfg.SpareServices))
 	}
 	if g := s.spareGang(); g != nil {
-		wants = append(wants, s.want(g, g.Tasks*s.cfg.SpareGangs))
-	}
-	if len(wants) == 0 {
-		return
+		w := s.want(g, g.Tasks*s.cfg.SpareGangs)
+		w.Together = false // nothing waits for it yet
+		wants = append(wants, w)
 	}
-	var coming []fleet.Coming
+	return wants
+}
+
+// coming lists the room that there is or will be before a machine rented now
+// could be up.
+func (s *State) coming() []fleet.Coming {
+	var list []fleet.Coming
 	horizon := s.now + s.soonestBoot()
-	have := map[string]int{}
 	for _, m := range s.order {
-		have[m.zone]++
-		if s.zones[m.zone].silent {
+		if s.zones[m.zone].silent || m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
 			continue
 		}
-		if m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
-			continue
-		}
-		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot}
-		if m.up && (m.reach.lost || s.now-m.heard >= s.silence()) {
-			continue // perhaps gone: not to be counted on
-		}
+		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot, Free: m.view.Capacity}
 		if m.up {
-			s.refreshView(m)
-			c.Free = m.view.Free
-			// Room that running work should free before a rented machine could
-			// be up is as good as a rented machine.
-			for _, r := range m.view.Running {
-				if r.End >= horizon {
-					break
-				}
-				c.Free = c.Free.Add(r.Need)
+			if m.reach.lost || s.now-m.heard >= s.silence() {
+				continue // perhaps gone: not to be counted on
 			}
-			if c.Free.CPUs <= 0 || c.Free.MemoryGB <= 0 {
+			if c.Free = s.freeBy(m, horizon); c.Free.CPUs <= 0 || c.Free.MemoryGB <= 0 {
 				continue // full for longer: nothing to plan with
 			}
-		} else {
-			c.Free = m.view.Capacity
 		}
-		coming = append(coming, c)
+		list = append(list, c)
 	}
-	limit := math.MaxInt
-	if s.cfg.MaxMachines > 0 {
-		limit = s.cfg.MaxMachines - len(s.machines)
-		if limit <= 0 && !s.limitTold {
-			s.limitTold = true
-			s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.leadership.Term)
+	return list
+}
+
+// freeBy is the room of m at a time, if nothing more comes to it: room that
+// running work should free is as good as a rented machine.
+func (s *State) freeBy(m *machine, at time.Duration) sched.Resources {
+	s.refreshView(m)
+	free := m.view.Free
+	for _, r := range m.view.Running {
+		if r.End >= at {
+			break
 		}
+		free = free.Add(r.Need)
 	}
-	for _, r := range fleet.Plan(wants, coming, s.offers(have), limit) {
-		s.rent(r)
+	return free
+}
+
+// rentalLimit is how many machines more the operators allow.
+func (s *State) rentalLimit() int {
+	if s.cfg.MaxMachines == 0 {
+		return math.MaxInt
+	}
+	limit := s.cfg.MaxMachines - len(s.machines)
+	if limit <= 0 && !s.limitTold {
+		s.limitTold = true
+		s.log(slog.LevelWarn, "as many machines as the operators allow: nothing more is rented", "max_machines", s.cfg.MaxMachines, "term", s.leadership.Term)
+	}
+	return limit
+}
+
+// maxRentPauses bounds the pause between rentals for a gang that the cloud can't
+// satisfy: 2^6 leases.
+const maxRentPauses = 6
+
+// postponeRentals takes that the cloud doesn't give all that a gang needs. What
+// was rented for it stands idle and goes back; asked for again and again it would
+// cost its price for as long as the gang waits.
+func (s *State) postponeRentals(id string) {
+	j := s.active[id]
+	if j == nil || !j.gang.rented {
+		return // nothing was spent: a machine may be had at any moment
 	}
+	j.gang.rented = false
+	j.gang.rentAt = s.now + s.cfg.Lease<<min(j.gang.rentPauses, maxRentPauses)
+	j.gang.rentPauses++
 }
 
 // age is how long ago j was submitted.
@@ -221,6 +265,7 @@
 		s.renting--
 		switch d.Status {
 		case 200:
+			s.rentedFor(r.Gangs)
 			s.log(slog.LevelInfo, "rented", "request", name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(d.Hosts), "term", leadership.Term)
 			for _, h := range d.Hosts {
 				m := s.machine(h)
@@ -249,6 +294,15 @@
 	}
 }
 
+// rentedFor notes that machines were rented for gangs.
+func (s *State) rentedFor(gangs []string) {
+	for _, id := range gangs {
+		if j := s.active[id]; j != nil {
+			j.gang.rented = true
+		}
+	}
+}
+
 func (s *State) refuse(key offerKey) {
 	r := s.refused[key]
 	if r == nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -35,6 +35,11 @@
 	patient.Patient = true
 	nospot := want(2, model.Job{})
 	nospot.Patient = true
+	gang := func(n int) Want {
+		w := want(n, model.Job{ID: "gang"})
+		w.Together = true
+		return w
+	}
 	cases := []struct {
 		name   string
 		wants  []Want
@@ -43,21 +48,28 @@
 		want   string
 	}{
 		{"nothing is wanted", nil, nil, 9, "[]"},
-		{"two tasks fill a small machine", []Want{want(2, model.Job{})}, nil, 9, "[{small a false 1}]"},
-		{"many tasks fill a large one", []Want{want(8, model.Job{})}, nil, 9, "[{large a false 1}]"},
-		{"spot where the job may", []Want{want(2, model.Job{Spot: true})}, nil, 9, "[{small a true 1}]"},
+		{"two tasks fill a small machine", []Want{want(2, model.Job{})}, nil, 9, "[{small a false 1 []}]"},
+		{"many tasks fill a large one", []Want{want(8, model.Job{})}, nil, 9, "[{large a false 1 []}]"},
+		{"spot where the job may", []Want{want(2, model.Job{Spot: true})}, nil, 9, "[{small a true 1 []}]"},
 		{"what is coming is filled first", []Want{want(2, model.Job{})}, []Coming{{"small", "b", false, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 9, "[]"},
-		{"but not on a kind that the job may not use", []Want{want(2, model.Job{})}, []Coming{{"small", "b", true, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 9, "[{small a false 1}]"},
-		{"spread over zones", []Want{spread}, nil, 9, "[{small a false 1} {small b false 1}]"},
-		{"only zone b", []Want{want(2, model.Job{Zone: "b"})}, nil, 9, "[{small b false 1}]"},
-		{"only large machines", []Want{want(1, model.Job{Types: []string{"large"}})}, nil, 9, "[{large a false 1}]"},
-		{"a patient job takes spot machines", []Want{patient}, nil, 9, "[{small a true 1}]"},
+		{"but not on a kind that the job may not use", []Want{want(2, model.Job{})}, []Coming{{"small", "b", true, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 9, "[{small a false 1 []}]"},
+		{"spread over zones", []Want{spread}, nil, 9, "[{small a false 1 []} {small b false 1 []}]"},
+		{"only zone b", []Want{want(2, model.Job{Zone: "b"})}, nil, 9, "[{small b false 1 []}]"},
+		{"only large machines", []Want{want(1, model.Job{Types: []string{"large"}})}, nil, 9, "[{large a false 1 []}]"},
+		{"a patient job takes spot machines", []Want{patient}, nil, 9, "[{small a true 1 []}]"},
 		{"and none if it may not use them", []Want{nospot}, nil, 9, "[]"},
-		{"no more than the limit", []Want{want(40, model.Job{})}, nil, 2, "[{large a false 1} {large b false 1}]"},
+		{"a gang whole", []Want{gang(10)}, nil, 9, "[{large a false 1 [gang]} {small a false 1 [gang]}]"},
+		{"a gang not in part, and others instead", []Want{gang(40), want(2, model.Job{})}, nil, 2, "[{small a false 1 []}] unmet [gang]"},
+		{"what comes is not for a gang that it isn't enough for", []Want{gang(40), want(2, model.Job{})}, []Coming{{"small", "b", false, sched.Resources{CPUs: 4, MemoryGB: 16}}}, 2, "[] unmet [gang]"},
+		{"no more than the limit", []Want{want(40, model.Job{})}, nil, 2, "[{large a false 1 []} {large b false 1 []}]"},
 	}
 	for _, c := range cases {
-		got := Plan(c.wants, c.coming, offers(), c.limit)
-		if s := fmt.Sprint(got); s != c.want {
+		got, unmet := Plan(c.wants, c.coming, offers(), c.limit)
+		s := fmt.Sprint(got)
+		if len(unmet) > 0 {
+			s += fmt.Sprint(" unmet ", unmet)
+		}
+		if s != c.want {
 			t.Errorf("%s: %s, want %s", c.name, s, c.want)
 		}
 	}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -64,7 +64,7 @@
 			if room >= j.Waiting {
 				break
 			}
-			room += tasksIn(m.Free, j.Need)
+			room += TasksIn(m.Free, j.Need)
 			last = cost[m]
 		}
 		if room >= j.Waiting && (!found || last < soonest) {
@@ -90,8 +90,8 @@
 	return zones
 }
 
-// tasksIn is how many tasks of one need room holds.
-func tasksIn(room, need Resources) int {
+// TasksIn is how many tasks of one need room holds.
+func TasksIn(room, need Resources) int {
 	n := 0
 	for room.Fits(need) && n < 1000 {
 		room = room.Sub(need)
@@ -119,7 +119,7 @@
 			}
 			empty := m.Capacity
 			empty.CPUs -= m.Stays // what stays on it makes no room
-			n := min(tasksIn(empty, j.Need), j.Waiting)
+			n := min(TasksIn(empty, j.Need), j.Waiting)
 			if n == 0 {
 				continue
 			}
--- a/internal/sim/gang_test.go
+++ b/internal/sim/gang_test.go
@@ -176,3 +176,55 @@
 		t.Error(b)
 	}
 }
+
+// TestGangBeyondTheCloud: a gang that is larger than what the cloud gives stays
+// known and waits; it costs other work nothing that lasts: machines are rented
+// for it less and less often, none is kept free for it, and arrays begin as ever.
+// Once the cloud has enough it runs.
+func TestGangBeyondTheCloud(t *testing.T) {
+	opt := Defaults(3)
+	opt.Config.Goals = map[string]core.Goal{"gang": {Start: 5 * second}}
+	w := New(opt)
+	g := gangOf("req-300000", 40) // twenty machines of twelve
+	w.At(5*second, func() { w.Users.Submit(g, 10*second) })
+	for i := range 20 {
+		j := batch(fmt.Sprintf("req-%06d", i), 8)
+		j.Class = "array"
+		w.At(time.Duration(20+25*i)*second, func() { w.Users.Submit(j, 8*second) })
+	}
+	var rented, idle time.Duration // machine seconds, in the second half
+	w.At(300*second, func() {
+		var look func()
+		look = func() {
+			for _, wk := range w.Workers {
+				rented += second
+				if len(wk.tasks) == 0 {
+					idle += second
+				}
+			}
+			w.After(second, look)
+		}
+		look()
+	})
+	w.Run(550 * second)
+	for i := range 20 {
+		if x := w.Check.jobs[fmt.Sprintf("req-%06d", i)]; x.began == 0 || x.began-x.at > 25*second {
+			t.Errorf("array %d began %v after it was submitted at %v", i, x.began-x.at, x.at)
+		}
+	}
+	if x := w.Check.jobs[g.ID]; x.began != 0 || x.toldDone || !x.accepted {
+		t.Errorf("the gang: accepted: %v, began at %v", x.accepted, x.began)
+	}
+	// Two to three machines carry the arrays, and each idles for a minute at most.
+	if mean := idle.Seconds() / 250; mean > 4 {
+		t.Errorf("%.1f machines idle on average, of %.1f rented", mean, rented.Seconds()/250)
+	}
+	w.Opt.Capacity = 12
+	w.Run(1200 * second)
+	if x := w.Check.jobs[g.ID]; !x.toldDone {
+		t.Error("the cloud has enough, and the gang has not run 650 s later")
+	}
+	for _, b := range w.Check.Broken {
+		t.Error(b)
+	}
+}
