--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -174,3 +174,123 @@
 		t.Errorf("no longer shown: bound: %v, %d tasks wait", j.tasks[0] != nil, j.waiting())
 	}
 }
+
+// TestGangGuards: what keeps gangs whole, each guard by itself where another
+// stands behind it on the simulated days.
+func TestGangGuards(t *testing.T) {
+	gathering := func(t *testing.T) (*State, *job, *machine) {
+		s, _, m := leading(t)
+		s.cfg.GangWait = 40 * time.Second
+		s.apply(Item{Key: dirJobs + "req-000002", Value: raw(jobValue{Spec: &model.Job{ID: "req-000002", Team: "t", Tasks: 3, CPUs: 1, Kind: model.Gang}}), Stamp: 6})
+		j := s.jobs["req-000002"]
+		for i := range 2 {
+			s.bind(&task{job: j, index: i, name: model.TaskName(j.ID, i), attempt: 7, m: m, session: 1, issued: true, state: model.TaskGathering})
+		}
+		j.gang = gang{attempt: 7}
+		return s, j, m
+	}
+	t.Run("a task that is lost while others run is not replaced", func(t *testing.T) {
+		for _, began := range []bool{false, true} {
+			s, j, _ := gathering(t)
+			j.gang.began = began
+			if ready := s.gangReady(j); ready == began {
+				t.Errorf("began: %v, a third task may be placed: %v", began, ready)
+			}
+		}
+	})
+	t.Run("a gang that has begun and misses a task is ended", func(t *testing.T) {
+		for _, began := range []bool{false, true} {
+			s, j, _ := gathering(t)
+			j.gang.began = began
+			s.reconcileGangs()
+			if j.gang.broken != began || j.tasks[0].killing != began {
+				t.Errorf("began: %v, ended: %v", began, j.gang.broken)
+			}
+		}
+	})
+	t.Run("a task that shows up while its gang is being ended is stopped", func(t *testing.T) {
+		s, j, m := gathering(t)
+		s.abortGang(j, 0)
+		s.piece(m, model.TaskReport{Task: model.TaskName(j.ID, 2), Attempt: 7, State: model.TaskGathering}, &model.Report{Session: 1})
+		if x := j.tasks[2]; x == nil || !x.killing {
+			t.Errorf("the third task is adopted and goes on: %+v", x)
+		}
+	})
+	t.Run("gangs are malformed where they aren't set up", func(t *testing.T) {
+		s, _, _ := leading(t)
+		s.clusterVersion = versionGangs
+		s.types["small"] = &model.MachineType{Name: "small", CPUs: 4, MemoryGB: 16}
+		for _, out := range s.Step(time.Second, Submit{Req: 1, Job: model.Job{ID: "req-000009", Team: "t", Kind: model.Gang, Tasks: 2, CPUs: 1}}) {
+			if r, ok := out.(Reply); ok && r.Status == 400 {
+				return
+			}
+		}
+		t.Error("no 400")
+	})
+	t.Run("room that is being made for a gang is not made twice", func(t *testing.T) {
+		s, _, _ := leading(t)
+		s.types["small"] = &model.MachineType{Name: "small", CPUs: 4, MemoryGB: 16, FetchRate: 1}
+		s.typeList = []model.MachineType{*s.types["small"]}
+		low := &job{Job: model.Job{ID: "req-000003", Team: "t", Kind: model.Batch, Tasks: 8, CPUs: 1}, rank: model.Rank(model.Low), tasks: map[int]*task{}, zones: map[string]int{}, doneBits: make([]uint64, 1)}
+		g := &job{Job: model.Job{ID: "req-000004", Team: "t", Kind: model.Gang, Tasks: 2, CPUs: 2}, rank: model.Rank(model.High), tasks: map[int]*task{}, zones: map[string]int{}}
+		g.entry = &sched.Job{ID: g.ID, Waiting: 2, Need: g.need(), Gang: true, Ref: g}
+		env := &roundEnv{s: s, elapsed: func() time.Duration { return 0 }}
+		for i, host := range []string{"n-1", "n-2"} {
+			m := s.machine(host)
+			s.describe(m, "e", "small", "a", false)
+			m.session, m.adopted, m.rostered, m.up = 1, true, true, true
+			for k := range 4 {
+				s.bind(&task{job: low, index: 4*i + k, name: model.TaskName(low.ID, 4*i+k), attempt: 5, m: m, session: 1, issued: true, state: model.TaskRunning})
+			}
+			s.refreshView(m)
+			env.views = append(env.views, &m.view)
+		}
+		stopped := func() (n int) {
+			for _, x := range low.tasks {
+				if x.killing {
+					n++
+				}
+			}
+			return n
+		}
+		s.preemptForGang(g, env, s.teamUse())
+		if n := stopped(); n != 4 {
+			t.Fatalf("%d tasks stopped, want 4", n)
+		}
+		s.now += s.cfg.ReportEvery // some have ended, and their room is kept
+		for _, m := range s.order {
+			m.stale = true
+			s.refreshView(m)
+		}
+		g.entry.Waiting = 2
+		for _, m := range s.order { // as if others had come in between
+			if m.keptFor == nil {
+				continue
+			}
+			for _, x := range m.tasks {
+				x.killing = false
+			}
+		}
+		s.preemptForGang(g, env, s.teamUse())
+		if n := stopped(); n != 0 {
+			t.Errorf("%d tasks more are stopped while room is kept", n)
+		}
+	})
+	t.Run("a job's first task in a long time is not stopped for a gang", func(t *testing.T) {
+		for _, c := range []struct {
+			age  time.Duration
+			want bool
+		}{{beginWithin / 2, false}, {beginWithin / 4, true}} {
+			s, _, m := leading(t)
+			s.wall = int64(time.Hour / time.Millisecond)
+			low := &job{Job: model.Job{ID: "req-000003", Team: "t", Kind: model.Batch, Tasks: 8}, rank: model.Rank(model.Low), tasks: map[int]*task{}, zones: map[string]int{}, doneBits: make([]uint64, 1)}
+			low.at = s.wall - int64(c.age/time.Millisecond)
+			x := &task{job: low, name: "req-000003/0", m: m, session: 1}
+			s.bind(x)
+			e := &eviction{s: s, job: &job{Job: model.Job{Kind: model.Gang, Team: "t"}, rank: model.Rank(model.High)}}
+			if got := e.mayStop(x, sched.Resources{}); got != c.want {
+				t.Errorf("a job of %v with one task: may be stopped: %v", c.age, got)
+			}
+		}
+	})
+}
