--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -294,3 +294,43 @@
 		}
 	})
 }
+
+// TestImpossibleJobs: what can never run is refused, and nothing else.
+func TestImpossibleJobs(t *testing.T) {
+	s := alone()
+	s.cfg.Teams["tight"] = Team{Limit: sched.Resources{CPUs: 8}}
+	s.typeList = []model.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, ZonesAvail: []string{"a", "b"}},
+		{Name: "large", CPUs: 16, MemoryGB: 64, ZonesAvail: []string{"a"}},
+	}
+	gang := model.Job{Team: "t", Kind: model.Gang, Tasks: 4, CPUs: 2, MemoryGB: 4}
+	with := func(change func(j *model.Job)) model.Job {
+		j := gang
+		change(&j)
+		return j
+	}
+	for _, c := range []struct {
+		name string
+		job  model.Job
+		want bool
+	}{
+		{"a gang", gang, false},
+		{"within the limit", with(func(j *model.Job) { j.Team = "tight" }), false},
+		{"all tasks together beyond the limit", with(func(j *model.Job) { j.Team, j.Tasks = "tight", 5 }), true},
+		{"an array whose tasks go one after the other", with(func(j *model.Job) { j.Team, j.Tasks, j.Kind = "tight", 5, model.Batch }), false},
+		{"unknown team", with(func(j *model.Job) { j.Team = "nobody" }), true},
+		{"no machine is so large", with(func(j *model.Job) { j.CPUs = 17 }), true},
+		{"none in that zone", with(func(j *model.Job) { j.CPUs, j.Zone = 8, "b" }), true},
+		{"spread over two zones", with(func(j *model.Job) { j.Spread = true }), false},
+		{"spread, with one zone to be had", with(func(j *model.Job) { j.Spread, j.CPUs = true, 8 }), true},
+		{"spread in one zone", with(func(j *model.Job) { j.Spread, j.OneZone = true, true }), true},
+		{"spread in the only zone allowed", with(func(j *model.Job) { j.Spread, j.Zone = true, "a" }), true},
+		{"one task, spread in one zone", with(func(j *model.Job) { j.Spread, j.OneZone, j.Tasks = true, true, 1 }), false},
+		{"an array spread in one zone", with(func(j *model.Job) { j.Spread, j.OneZone, j.Kind = true, true, model.Batch }), false},
+		{"larger than anything there is now", with(func(j *model.Job) { j.Tasks = 10_000 }), false},
+	} {
+		if why := s.impossible(&c.job); (why != "") != c.want {
+			t.Errorf("%s: refused with %q, want to be refused: %v", c.name, why, c.want)
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -187,13 +187,7 @@
 	if !ok {
 		return "unknown team"
 	}
-	fits := false
-	for i := range s.typeList {
-		t := &s.typeList[i]
-		if t.Fits(j) && (j.Zone == "" || contains(t.ZonesAvail, j.Zone)) {
-			fits = true
-		}
-	}
+	zones, fits := s.zonesFor(j)
 	if !fits {
 		return "a task fits no allowed machine type"
 	}
@@ -205,16 +199,33 @@
 	if lim.CPUs > 0 && n*j.CPUs > lim.CPUs || lim.GPUs > 0 && n*j.GPUs > lim.GPUs {
 		return "the job needs more than its team's limit"
 	}
+	places := len(zones)
+	if j.OneZone {
+		places = min(places, 1)
+	}
+	if j.Kind == model.Gang && places > 0 && j.Tasks > places*j.ZoneCap() {
+		return "the gang's tasks can't be spread over the zones at the same time"
+	}
 	return ""
 }
 
-func contains(list []string, x string) bool {
-	for _, v := range list {
-		if v == x {
-			return true
+// zonesFor lists the zones in which a task of j fits an allowed machine type, and
+// says whether it fits any. Of a type without zones nothing final is said.
+func (s *State) zonesFor(j *model.Job) (zones map[string]bool, fits bool) {
+	zones = map[string]bool{}
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if !t.Fits(j) {
+			continue
+		}
+		fits = fits || j.Zone == ""
+		for _, zone := range t.ZonesAvail {
+			if j.Zone == "" || j.Zone == zone {
+				zones[zone], fits = true, true
+			}
 		}
 	}
-	return false
+	return zones, fits
 }
 
 func (s *State) poll(o origin, id string) {
