--- a/internal/sim/gang_test.go
+++ b/internal/sim/gang_test.go
@@ -17,7 +17,8 @@
 }
 
 // gangs submits gangs of one to six tasks beside arrays and services; some must
-// be in one zone, some may use spot machines, some belong to a team with a limit.
+// be in one zone, some may use spot machines, some belong to a team with a limit,
+// some stop other work by their priority or their team's guarantee.
 func gangs(w *World, until time.Duration) {
 	for i, at := 0, 2*second; at < until; i, at = i+1, at+5*second {
 		j := gangOf(fmt.Sprintf("req-%06d", 300000+i), 1+(i*5)%6)
@@ -28,6 +29,11 @@
 		if i%6 == 5 {
 			j.Checkpoint, j.SaveCost = 0, 0
 		}
+		if _, ok := w.Opt.Config.Teams["own"]; ok && i%7 == 6 {
+			j.Team = "own"
+		} else if i%5 == 4 {
+			j.Priority = model.High
+		}
 		run := time.Duration(8+i%14) * second
 		w.At(at, func() { w.Users.Submit(j, run) })
 	}
@@ -75,6 +81,7 @@
 			for seed := uint64(1); seed <= uint64(max(1, *seeds/2)); seed++ {
 				opt := Defaults(seed)
 				opt.Config.Teams["tight"] = core.Team{Limit: sched.Resources{CPUs: 9}}
+				opt.Config.Teams["own"] = core.Team{Guaranteed: sched.Resources{CPUs: 12}}
 				w := New(opt)
 				gangs(w, 130*second)
 				load(w, 120*second)
