--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -9,74 +9,151 @@
 
 // Giving machines back, and the zones that are left alone meanwhile.
 
+// maxReturned is how many machines one call to the cloud may return (PROTOCOL).
+const maxReturned = 100
+
 // giveBack returns machines that are lost, never came up, or idle.
 func (s *State) giveBack() {
 	if s.returnBy {
 		return
 	}
-	var hosts []string
 	s.zones = s.zoneView()
+	s.countUnaccounted()
+	spare := s.newSpareRoom()
+	var hosts []string
+	for _, m := range s.order {
+		if len(hosts) >= maxReturned {
+			break
+		}
+		switch s.disposition(m) {
+		case returnNow:
+			hosts = append(hosts, m.host)
+		case returnIdle:
+			if spare.canSpare(m) {
+				hosts = append(hosts, m.host)
+			}
+		case inUse:
+			m.idleSince = s.now
+		}
+	}
+	if len(hosts) > 0 {
+		s.returnHosts(hosts)
+	}
+}
+
+// countUnaccounted counts the machines in reach, and those of them that may run
+// tasks that this leader hasn't seen. A zone that is cut off is waited for in any
+// case, and says nothing of the rest.
+func (s *State) countUnaccounted() {
 	s.unaccountedNow, s.inReach = 0, 0
 	for _, m := range s.order {
 		if s.zones[m.zone].silent {
-			continue // each is waited for in any case, and says nothing of the rest
+			continue
 		}
 		s.inReach++
 		if s.unaccounted(m) {
 			s.unaccountedNow++
 		}
 	}
-	service := s.serviceNeed()
-	room := 0
-	for _, m := range s.order {
-		room += s.serviceRoomOn(m, service)
+}
+
+// disposition says what becomes of a machine now.
+type disposition int
+
+const (
+	keep       disposition = iota // neither used nor to be returned
+	inUse                         // its time of idling begins anew
+	returnIdle                    // if its room can be spared
+	returnNow
+)
+
+// disposition says whether m is given back.
+func (s *State) disposition(m *machine) disposition {
+	switch {
+	case m.returning, m.dead, s.overdue(m), s.taken(m):
+		return returnNow
+	case s.zones[m.zone].silent:
+		// Cut off, most likely: what is there goes on working by itself or
+		// will, and a machine that lost its work keeps its images.
+		return keep
+	case s.unresponsive(m), s.missing(m):
+		return returnNow
+	case m.lapsed:
+		return returnIf(s.lostForGood(m))
+	case !m.up && !m.rostered:
+		return returnIf(s.now-m.rentedAt > s.bootLimit(m))
+	case !m.rostered && s.now-m.heard > 2*s.cfg.Lease, s.unreachableTooLong(m):
+		return returnNow
+	case m.slow && m.empty():
+		return returnNow
+	case !m.standing && m.recallAt == 0 && m.adopted && m.empty() && len(m.view.Local) == 0:
+		if s.settled && s.idleEnough(m) {
+			return returnIdle
+		}
+		return keep
+	}
+	return inUse
+}
+
+func returnIf(now bool) disposition {
+	if now {
+		return returnNow
 	}
-	gang, gangZone, gangRoom := s.gangRoom()
-	idle := 1 + len(s.order)/16 // of idle machines at a time
+	return keep
+}
+
+// lostForGood says whether m, whose lease ran out, is given up: not while nobody
+// reports, since it is rather this node that is cut off then.
+func (s *State) lostForGood(m *machine) bool {
+	return s.now-max(s.leaseEnd(m), s.zoneBack[m.zone]) > s.cfg.Lease/2 && s.now-s.lastReportAt < 2*s.cfg.ReportEvery
+}
+
+// empty says whether no task is on m, nor may be.
+func (m *machine) empty() bool { return len(m.tasks) == 0 && len(m.orphans) == 0 }
+
+// spareRoom is the room that is to be kept free for services and gangs, and how
+// many idle machines may go at a time.
+type spareRoom struct {
+	s        *State
+	idle     int
+	service  *job
+	room     int // for tasks of the service
+	gang     *job
+	gangZone string
+	gangRoom int // for tasks of the gang, in its zone
+}
+
+// idlePart is the part of all machines that may go at a time, for being idle.
+const idlePart = 16
+
+func (s *State) newSpareRoom() *spareRoom {
+	r := &spareRoom{s: s, idle: 1 + len(s.order)/idlePart, service: s.serviceNeed()}
 	for _, m := range s.order {
-		if len(hosts) >= 100 {
-			break
-		}
-		switch {
-		case m.returning, m.dead, s.overdue(m), s.taken(m):
-			hosts = append(hosts, m.host)
-		case s.zones[m.zone].silent:
-			// Cut off, most likely: what is there goes on working by itself or
-			// will, and a machine that lost its work keeps its images.
-		case s.unresponsive(m), s.missing(m):
-			hosts = append(hosts, m.host)
-		case m.lapsed:
-			// Not while nobody reports: then it is rather us who are cut off.
-			if s.now-max(s.leaseEnd(m), s.zoneBack[m.zone]) > s.cfg.Lease/2 && s.now-s.lastReportAt < 2*s.cfg.ReportEvery {
-				hosts = append(hosts, m.host)
-			}
-		case !m.up && !m.rostered:
-			if s.now-m.rentedAt > s.bootLimit(m) {
-				hosts = append(hosts, m.host)
-			}
-		case !m.rostered && s.now-m.heard > 2*s.cfg.Lease, s.unreachableTooLong(m):
-			hosts = append(hosts, m.host)
-		case m.slow && len(m.tasks) == 0 && len(m.orphans) == 0:
-			hosts = append(hosts, m.host)
-		case !m.standing && m.recallAt == 0 && m.adopted && len(m.tasks) == 0 && len(m.orphans) == 0 && len(m.view.Local) == 0:
-			own, ofGang := s.serviceRoomOn(m, service), 0
-			if gang != nil && m.zone == gangZone {
-				ofGang = s.gangRoomOn(m, gang)
-			}
-			if s.settled && idle > 0 && s.idleEnough(m) && (own == 0 || room-own >= s.cfg.SpareServices) &&
-				(ofGang == 0 || gangRoom-ofGang >= gang.Tasks*s.cfg.SpareGangs) {
-				idle--
-				room -= own
-				gangRoom -= ofGang
-				hosts = append(hosts, m.host)
-			}
-		default:
-			m.idleSince = s.now
-		}
+		r.room += s.serviceRoomOn(m, r.service)
 	}
-	if len(hosts) == 0 {
-		return
+	r.gang, r.gangZone, r.gangRoom = s.gangRoom()
+	return r
+}
+
+// canSpare says whether m may go, and if so counts it as gone.
+func (r *spareRoom) canSpare(m *machine) bool {
+	own, ofGang := r.s.serviceRoomOn(m, r.service), 0
+	if r.gang != nil && m.zone == r.gangZone {
+		ofGang = r.s.gangRoomOn(m, r.gang)
 	}
+	enough := (own == 0 || r.room-own >= r.s.cfg.SpareServices) &&
+		(ofGang == 0 || r.gangRoom-ofGang >= r.gang.Tasks*r.s.cfg.SpareGangs)
+	if r.idle <= 0 || !enough {
+		return false
+	}
+	r.idle--
+	r.room -= own
+	r.gangRoom -= ofGang
+	return true
+}
+
+// returnHosts asks the cloud to take machines back.
+func (s *State) returnHosts(hosts []string) {
 	leadership := s.leadership
 	ok := s.cloud(CloudCall{Op: CloudReturn, Hosts: hosts}, func(d CloudDone) {
 		if s.leadership != leadership {
@@ -84,19 +161,7 @@
 		}
 		s.returnBy = false
 		for _, h := range hosts {
-			m := s.machines[h]
-			switch {
-			case d.Status == 200:
-				s.gone(h)
-			case m == nil:
-			case d.Status == 503 || d.Status == 429:
-				// Not done, so the machine is ours as before; held back, it
-				// would stand empty for as long as the cloud is in trouble.
-				m.returning = m.returnDoubt
-				s.dirty = true
-			default:
-				m.returnDoubt = true // perhaps gone at any moment from now
-			}
+			s.returnAnswered(h, d.Status)
 		}
 	})
 	if !ok {
@@ -115,6 +180,23 @@
 	}
 }
 
+// returnAnswered takes the cloud's answer to a return.
+func (s *State) returnAnswered(host string, status int) {
+	m := s.machines[host]
+	switch {
+	case status == 200:
+		s.gone(host)
+	case m == nil:
+	case status == 503 || status == 429:
+		// Not done, so the machine is ours as before; held back, it
+		// would stand empty for as long as the cloud is in trouble.
+		m.returning = m.returnDoubt
+		s.dirty = true
+	default:
+		m.returnDoubt = true // perhaps gone at any moment from now
+	}
+}
+
 func (s *State) bootLimit(m *machine) time.Duration {
 	boot := 30.0
 	if m.typ != nil {
--- /dev/null
+++ b/internal/core/orders.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// Answers to workers' reports.
+
+// pendingReport is a report whose answer waits for the next round of decisions, or
+// until its machine's mark is off the roster.
+type pendingReport struct {
+	req uint64
+	m   *machine
+	r   *model.Report
+	at  time.Duration
+}
+
+func (s *State) answerReport(h pendingReport) {
+	if !s.Leading() || s.machines[h.m.host] != h.m || h.m.session != h.r.Session || h.m.lapsed || !s.clearSilence(h.m) {
+		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"overtaken"}})
+		return
+	}
+	m := h.m
+	m.told, m.toldSeq = s.epoch(m), max(m.toldSeq, h.r.Seq)
+	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(m), s.orders(m, h.r)}, Until: s.leadership.Until()})
+}
+
+// answerReports answers the held reports, but for those whose machine's mark is
+// still being taken off the roster.
+func (s *State) answerReports() {
+	pendingReports := s.pendingReports
+	s.pendingReports = nil
+	for _, h := range pendingReports {
+		if s.Leading() && h.m.silentStored != 0 && s.now-h.at < s.cfg.ReportEvery {
+			s.pendingReports = append(s.pendingReports, h)
+			continue
+		}
+		s.answerReport(h)
+	}
+}
+
+// maxOrders keeps an answer's one line under 64 KiB.
+const maxOrders = 400
+
+// orders says what m is to do, in answer to its report r. All of it can be
+// repeated with every report until the reports show that it was done.
+func (s *State) orders(m *machine, r *model.Report) []model.Order {
+	orders := []model.Order{}
+	if !m.adopted || m.session != r.Session {
+		return orders
+	}
+	listed := make(map[string]model.TaskReport, len(r.Tasks))
+	for _, p := range r.Tasks {
+		listed[p.Task] = p
+		if len(orders) < maxOrders && s.mayForget(m, p) {
+			orders = append(orders, model.Order{Verb: model.Forget, Task: p.Task, Attempt: p.Attempt})
+		}
+	}
+	for _, name := range ordered(m.orphans) {
+		if len(orders) < maxOrders {
+			orders = append(orders, model.Order{Verb: model.Kill, Task: name, Attempt: m.orphans[name].Attempt, Grace: new(float64)})
+		}
+	}
+	for _, name := range ordered(m.tasks) {
+		if len(orders) >= maxOrders {
+			break
+		}
+		t := m.tasks[name]
+		p, shown := listed[name]
+		shown = shown && p.Attempt == t.attempt
+		switch {
+		case t.killing && shown:
+			orders = append(orders, t.killOrder())
+		case !t.killing && !shown && m.rostered:
+			t.issued, t.issuedSeq = true, r.Seq
+			orders = append(orders, model.Order{Verb: model.Start, Task: name, Attempt: t.attempt})
+		}
+	}
+	return orders
+}
+
+// mayForget says whether m may forget an exited task that it shows. A forgotten
+// attempt could be started again by a direct command that is still on its way;
+// until m has seen a higher epoch nothing is forgotten. Nor is a result that isn't
+// durable yet.
+func (s *State) mayForget(m *machine, p model.TaskReport) bool {
+	if p.State != model.TaskExited || m.direct || m.doubt != 0 && m.seen <= m.doubt {
+		return false
+	}
+	if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt && model.KnownCause(p.Cause) {
+		return false
+	}
+	id, i, _ := model.SplitTask(p.Task)
+	j := s.jobs[id]
+	return p.Cause != model.CauseDone || j == nil || i >= j.Tasks || j.durable(i)
+}
--- /dev/null
+++ b/internal/core/tasklist.go
@@ -0,0 +1,195 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// What a report shows of the tasks on its machine.
+
+// report takes in what a worker says, by its own report (own) or in answer to
+// a direct command. The caller has checked that it isn't older than the last.
+func (s *State) report(m *machine, r *model.Report, own bool) {
+	if r.Session > m.session {
+		s.sessionBegun(m, r)
+	}
+	m.heard = s.now
+	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
+	m.up = true
+	m.least = max(m.least, r.Epoch)
+	s.confirmDelivery(m, r)
+	if r.Epoch >= max(s.epochBase(), m.least) && !m.adopted && !m.lapsed {
+		m.adopted = true
+		s.dirty = true
+		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.leadership.Term, "tasks", len(r.Tasks))
+	}
+	s.takeRecall(m, r)
+	if !m.adopted {
+		// It may be a late copy from before this term: what it lists is not
+		// relied on, but for what has completed.
+		s.lateDones(r)
+		return
+	}
+	if len(m.orphans) > 0 {
+		clear(m.orphans)
+		m.stale = true
+		s.orphaned = slices.DeleteFunc(s.orphaned, func(o *machine) bool { return o == m })
+	}
+	listed := make(map[string]bool, len(r.Tasks))
+	for _, p := range r.Tasks {
+		listed[p.Task] = true
+		s.piece(m, p, r)
+	}
+	for _, name := range ordered(m.tasks) {
+		if !listed[name] {
+			s.notListed(m.tasks[name], r, own)
+		}
+	}
+	s.checkSettled()
+}
+
+// sessionBegun takes that a machine's worker has begun a new session: its lease
+// had run out, and it killed all it had.
+func (s *State) sessionBegun(m *machine, r *model.Report) {
+	if m.toldSeq != 0 && !m.lapsed && s.now-m.lastReplyAt < s.cfg.Lease/2 {
+		s.markUnreachable(m, "its lease ran out though it was answered")
+	}
+	for _, name := range ordered(m.tasks) {
+		t := m.tasks[name]
+		if m.session != 0 && t.session < r.Session {
+			s.unbind(t, "new session")
+		}
+	}
+	// The new session has a lease of its own, which began before now.
+	m.lapsed, m.lastReplyAt = false, s.now
+	m.session, m.toldSeq = r.Session, 0
+}
+
+// takeRecall takes the cloud's notice that it will take the machine.
+func (s *State) takeRecall(m *machine, r *model.Report) {
+	if r.Recall == nil {
+		return
+	}
+	if m.recallAt == 0 {
+		s.log(slog.LevelInfo, "machine recalled", "host", m.host, "in_s", *r.Recall)
+		s.dirty = true
+	}
+	m.recallAt = s.now + time.Duration(*r.Recall*float64(time.Second))
+}
+
+// notListed takes that a report doesn't show a task that is bound to its machine.
+// That is conclusive only when no start can still arrive: the worker has moved on
+// from the answer that carried it, and has shown an epoch above that of any direct
+// command without an outcome.
+func (s *State) notListed(t *task, r *model.Report, own bool) {
+	m := t.m
+	gone := t.issued && (t.directEpoch == 0 || r.Epoch > t.directEpoch) && (t.issuedSeq == 0 || own && r.Seq > t.issuedSeq)
+	switch {
+	case !gone && t.issued:
+		if t.killing && t.directEpoch != 0 && m.fence <= t.directEpoch&(1<<fenceBits-1) {
+			s.raiseFence(m)
+		}
+	case t.killing:
+		s.unbind(t, "never started")
+		s.dirty = true
+	case t.state != "":
+		// It was there and is not any more, in the same session.
+		s.log(slog.LevelError, "task vanished", "task", t.name, "attempt", t.attempt, "host", m.host, "term", s.leadership.Term)
+		s.unbind(t, "vanished")
+	}
+}
+
+// piece takes one task of a report.
+func (s *State) piece(m *machine, p model.TaskReport, r *model.Report) {
+	id, i, ok := model.SplitTask(p.Task)
+	if !ok {
+		return
+	}
+	j := s.jobs[id]
+	if t := m.tasks[p.Task]; t != nil && t.attempt == p.Attempt {
+		s.progress(t, p)
+		return
+	}
+	if p.State == model.TaskExited {
+		if j != nil && p.Cause == model.CauseDone {
+			s.finished(j, i)
+		}
+		return
+	}
+	// Alive and not ours by this attempt: adopt what a former leader began,
+	// unless the job is over or the task is somewhere else.
+	if j != nil && !j.final() && i < j.Tasks && !j.isDone(i) && j.tasks[i] == nil {
+		t := &task{job: j, index: i, name: p.Task, attempt: p.Attempt, m: m, session: r.Session, issued: true, adopted: true}
+		s.bind(t)
+		if j.Kind == model.Gang {
+			s.adoptGang(t)
+		}
+		s.progress(t, p)
+		return
+	}
+	if len(m.orphans) == 0 {
+		s.orphaned = append(s.orphaned, m)
+	}
+	m.orphans[p.Task] = p
+	m.stale = true
+}
+
+// progress takes a bound task's reported state.
+func (s *State) progress(t *task, p model.TaskReport) {
+	m, j := t.m, t.job
+	t.issued = true
+	if t.state != p.State {
+		s.dirty = s.dirty || p.State == model.TaskExited
+		m.stale, m.unsent = true, true
+		if p.State == model.TaskRunning {
+			t.since = s.now
+			m.view.Images.Use(j.Image, j.ImageGB)
+		}
+	}
+	t.state = p.State
+	if j.Kind == model.Gang {
+		s.observeGang(j, p)
+	}
+	if p.State != model.TaskExited {
+		return
+	}
+	if !model.KnownCause(p.Cause) {
+		// Its end is not taken from a word that nobody knows. The machine is asked
+		// to forget it: once it no longer shows the task, that is gone.
+		s.log(slog.LevelError, "task exited with an unknown reason", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
+		return
+	}
+	s.unbind(t, p.Cause)
+	switch p.Cause {
+	case model.CauseDone:
+		s.ran(t)
+		s.finished(j, t.index)
+		j.errors, m.errors = 0, 0
+		m.view.Images.Use(j.Image, j.ImageGB)
+	case model.CauseError:
+		// Mostly the machine is at fault, sometimes the job: both pause for
+		// longer each time, so that neither makes a tight loop.
+		j.errors++
+		m.errors++
+		j.retryAt = s.now + s.backoff(j.errors)
+		m.downUntil = s.now + 2*s.backoff(m.errors)
+		s.log(slog.LevelInfo, "task failed", "task", t.name, "attempt", t.attempt, "host", m.host, "term", s.leadership.Term)
+	case model.CauseNoRoom, model.CauseBusy:
+		m.downUntil = s.now + s.cfg.ReportEvery
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
+	case model.CauseUnknown:
+		j.errors++
+		j.retryAt = s.now + s.backoff(j.errors)
+		s.log(slog.LevelInfo, "start refused", "task", t.name, "attempt", t.attempt, "host", m.host, "cause", p.Cause, "term", s.leadership.Term)
+	}
+}
+
+// backoff is how long to wait after n failures in a row: a lease at most. Some
+// tasks of an array that failed together on one bad machine kept the whole job
+// from all others for minutes where reports are rare.
+func (s *State) backoff(n int) time.Duration {
+	return min(s.cfg.ReportEvery<<min(n-1, 5), s.cfg.Lease)
+}
