--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -268,21 +269,50 @@
 		}
 		return nil, errors.New("not valid")
 	}
-	switch {
-	case !validID(j.ID):
-		return nil, errors.New("id: not valid")
-	case j.Class == "" || len(j.Class) > 200:
-		return nil, errors.New("lane: not valid")
-	case j.Team == "" || len(j.Team) > 200:
-		return nil, errors.New("owner: not valid")
-	case j.Kind != model.Batch && j.Kind != model.Service && j.Kind != model.Gang:
-		return nil, errors.New("shape: not valid")
-	case j.Priority != model.Prod && j.Priority != model.High && j.Priority != model.Normal && j.Priority != model.Low:
-		return nil, errors.New("rank: not valid")
-	case j.Tasks < 1 || j.Tasks > 100_000:
-		return nil, errors.New("pieces: not within 1 and 100000")
-	case j.Image == "" || len(j.Image) > 200:
-		return nil, errors.New("build: not valid")
+	if v, ok := fields["flavors"]; ok && !bytes.Equal(v, []byte("null")) && len(j.Types) == 0 {
+		return nil, errors.New("flavors: empty")
+	}
+	for _, check := range []func(*model.Job) error{checkWords, checkAmounts} {
+		if err := check(&j); err != nil {
+			return nil, err
+		}
+	}
+	return &j, nil
+}
+
+// maxWord bounds the names that users choose, in bytes.
+const maxWord = 200
+
+func validWord(s string) bool { return s != "" && len(s) <= maxWord }
+
+// checkWords checks the fields of a submission that hold words.
+func checkWords(j *model.Job) error {
+	for _, f := range []struct {
+		field string
+		valid bool
+	}{
+		{"id", validID(j.ID)}, {"lane", validWord(j.Class)}, {"owner", validWord(j.Team)}, {"build", validWord(j.Image)},
+		{"shape", slices.Contains([]string{model.Batch, model.Service, model.Gang}, j.Kind)},
+		{"rank", slices.Contains([]string{model.Prod, model.High, model.Normal, model.Low}, j.Priority)},
+		{"flavors", !slices.Contains(j.Types, "")},
+	} {
+		if !f.valid {
+			return fmt.Errorf("%s: not valid", f.field)
+		}
+	}
+	return nil
+}
+
+// Bounds of the numbers in a submission.
+const (
+	maxTasks  = 100_000
+	maxAmount = 1e9
+)
+
+// checkAmounts checks the fields of a submission that hold numbers.
+func checkAmounts(j *model.Job) error {
+	if j.Tasks < 1 || j.Tasks > maxTasks {
+		return fmt.Errorf("pieces: not within 1 and %d", maxTasks)
 	}
 	for _, a := range []struct {
 		field string
@@ -291,20 +321,12 @@
 		{"cpus", j.CPUs}, {"cards", j.GPUs}, {"memoryGb", j.MemoryGB}, {"pullGb", j.ImageGB},
 		{"guessS", j.Estimate}, {"snapshotEveryS", j.Checkpoint}, {"snapshotCostS", j.SaveCost},
 	} {
-		if !(a.value >= 0) || a.value > 1e9 {
-			return nil, fmt.Errorf("%s: not valid", a.field)
+		if !(a.value >= 0) || a.value > maxAmount {
+			return fmt.Errorf("%s: not valid", a.field)
 		}
 	}
 	if j.Due != nil && (!(*j.Due >= 0) || math.IsInf(*j.Due, 0)) {
-		return nil, errors.New("dueS: not valid")
+		return errors.New("dueS: not valid")
 	}
-	if v, ok := fields["flavors"]; ok && !bytes.Equal(v, []byte("null")) && len(j.Types) == 0 {
-		return nil, errors.New("flavors: empty")
-	}
-	for _, t := range j.Types {
-		if t == "" {
-			return nil, errors.New("flavors: not valid")
-		}
-	}
-	return &j, nil
+	return nil
 }
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"mulleinfall/internal/model"
 )
@@ -48,34 +49,31 @@
 		if s.mayProbe() {
 			s.reachFrom = at
 		}
-		if m.proof != nil && s.mayProbe() {
+		switch {
+		case m.proof != nil && s.mayProbe():
 			s.command(m, nil, nil)
-			continue
-		}
-		if s.now < m.directAt {
-			continue
-		}
-		if m.unsent && m.adopted && s.now-m.heard <= 2*s.cfg.ReportEvery {
+		case s.now < m.directAt:
+		case m.unsent && m.adopted && s.now-m.heard <= 2*s.cfg.ReportEvery:
 			s.flush(m)
-			continue
-		}
-		if !s.mayProbe() || m.silentSince != 0 && s.directs >= s.cfg.Directs/4 {
-			continue // a zone that is cut off must not take all the turns
-		}
-		if !m.adopted {
-			// Once it has reported in this term, its next report shows the
-			// epoch, at once.
-			if m.rostered && !m.lapsed && (m.told == 0 || s.now-m.heard > s.cfg.ReportEvery) {
-				s.command(m, nil, nil)
-			}
-			continue
-		}
-		if s.now-m.heard > 2*s.cfg.ReportEvery || m.reach.lost && m.seen < m.reach.epoch {
-			s.command(m, nil, nil) // is it there at all?
+		case s.mayProbe() && s.wantsProbe(m):
+			s.command(m, nil, nil)
 		}
 	}
 }
 
+// wantsProbe says whether m is to be asked whether it is there.
+func (s *State) wantsProbe(m *machine) bool {
+	switch {
+	case m.silentSince != 0 && s.directs >= s.cfg.Directs/4:
+		return false // a zone that is cut off must not take all the turns
+	case !m.adopted:
+		// Once it has reported in this term, its next report shows the
+		// epoch, at once.
+		return m.rostered && !m.lapsed && (m.told == 0 || s.now-m.heard > s.cfg.ReportEvery)
+	}
+	return s.now-m.heard > 2*s.cfg.ReportEvery || m.reach.lost && m.seen < m.reach.epoch
+}
+
 // flush sends m's unsent starts and stops directly.
 func (s *State) flush(m *machine) {
 	var open []*task
@@ -106,6 +104,8 @@
 	}
 }
 
+// command sends m orders under its present epoch, or an empty command that asks
+// for its report. starts are the tasks that the orders start.
 func (s *State) command(m *machine, orders []model.Order, starts []*task) {
 	epoch, leadership := s.epoch(m), s.leadership
 	session, seq, sent := m.session, m.seq, s.now
@@ -114,10 +114,10 @@
 	for _, t := range starts {
 		t.issued, t.directEpoch = true, epoch
 	}
-	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: leadership.Until()}
-	if c.Orders == nil {
-		c.Orders = []model.Order{}
+	if orders == nil {
+		orders = []model.Order{}
 	}
+	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: leadership.Until()}
 	c.Call = s.call(func(res any) {
 		d := res.(AgentDone)
 		if s.leadership != leadership {
@@ -131,34 +131,10 @@
 		m.direct = false
 		defer func() { s.proven(m, d.Report != nil) }()
 		if d.Report == nil || d.Status != 200 && d.Status != 409 {
-			// Perhaps it runs later. Raise the fence, so that the next report
-			// rules that out, and leave the rest to the reports.
-			if len(orders) > 0 {
-				m.doubt = max(m.doubt, epoch)
-				s.raiseFence(m)
-			}
-			m.directAt = s.now + s.cfg.Lease/8
-			m.askedInVain = true
-			if m.heard > sent {
-				s.countMissedDelivery(m) // it reports meanwhile, so it is there
-			}
+			s.commandUnanswered(m, epoch, sent, len(orders) > 0)
 			return
 		}
-		if len(starts) > 0 {
-			// A copy of a command that was carried out may come late. Whatever
-			// makes its starts possible again (a forget, another attempt) goes
-			// out under a higher epoch, so that the copy is refused by then: it
-			// once started a task a second time.
-			s.raiseFence(m)
-		}
-		for _, t := range starts {
-			if t.directEpoch == epoch {
-				t.directEpoch = 0 // the outcome is known
-				if d.Status == 409 {
-					t.issued = t.issuedSeq != 0
-				}
-			}
-		}
+		s.startsAnswered(m, starts, epoch, d.Status)
 		r := d.Report
 		if r.Session < session || r.Session == session && r.Seq <= seq {
 			// Older than what it had shown before it was asked.
@@ -180,6 +156,40 @@
 	s.emit(c)
 }
 
+// commandUnanswered takes that a command had no answer: perhaps it runs later.
+// The fence is raised, so that the next report rules that out, and the rest is
+// left to the reports.
+func (s *State) commandUnanswered(m *machine, epoch uint64, sent time.Duration, orders bool) {
+	if orders {
+		m.doubt = max(m.doubt, epoch)
+		s.raiseFence(m)
+	}
+	m.directAt = s.now + s.cfg.Lease/8
+	m.askedInVain = true
+	if m.heard > sent {
+		s.countMissedDelivery(m) // it reports meanwhile, so it is there
+	}
+}
+
+// startsAnswered takes the outcome of starts. A copy of a command that was
+// carried out may come late. Whatever makes its starts possible again (a forget,
+// another attempt) goes out under a higher epoch, so that the copy is refused by
+// then: it once started a task a second time.
+func (s *State) startsAnswered(m *machine, starts []*task, epoch uint64, status int) {
+	if len(starts) > 0 {
+		s.raiseFence(m)
+	}
+	for _, t := range starts {
+		if t.directEpoch != epoch {
+			continue
+		}
+		t.directEpoch = 0 // the outcome is known
+		if status == 409 {
+			t.issued = t.issuedSeq != 0
+		}
+	}
+}
+
 func (t *task) killOrder() model.Order {
 	g := t.grace
 	return model.Order{Verb: model.Kill, Task: t.name, Attempt: t.attempt, Grace: &g}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -5,11 +5,34 @@
 	"mulleinfall/internal/sched"
 )
 
+// drainedPart is the part of all machines that may be kept from being refilled
+// at a time, besides one.
+const drainedPart = 16
+
 // drainFor keeps a few machines from being refilled bit by bit while jobs wait
 // whose tasks need more room than any machine has left: those that should have
 // that room first.
 func (s *State) drainFor(queue []*job, env *roundEnv) {
-	left := 1 + len(env.views)/16
+	left := 1 + len(env.views)/drainedPart
+	begun := s.keepDraining(env)
+	left -= len(begun)
+	for _, j := range queue {
+		if left <= 0 || env.Spent() {
+			return
+		}
+		if begun[j] || !s.wantsDraining(j) {
+			continue
+		}
+		if m := s.soonestRoom(j, env); m != nil {
+			left--
+			m.keptFor, m.draining, m.keptUntil = j, true, s.now+s.cfg.ReportEvery
+		}
+	}
+}
+
+// keepDraining goes on with the machines that are drained already, as long as
+// their job waits, and returns those jobs.
+func (s *State) keepDraining(env *roundEnv) map[*job]bool {
 	begun := map[*job]bool{}
 	for _, v := range env.views {
 		m := v.Ref.(*machine)
@@ -22,31 +45,29 @@
 		case s.now < m.keptUntil && !begun[j] && v.Capacity.Fits(j.entry.Need):
 			begun[j] = true // stay with it
 			m.keptUntil = s.now + s.cfg.ReportEvery
-			left--
 		}
 	}
-	for _, j := range queue {
-		if left <= 0 || env.Spent() {
-			return
-		}
-		if j.entry.Waiting == 0 || begun[j] || j.rank == model.Rank(model.Prod) || j.Kind == model.Gang || !s.withinLimit(j, 1) {
-			continue
-		}
-		var best *machine
-		soonest := sched.Never
-		for _, v := range env.views {
-			m := v.Ref.(*machine)
-			if v.Held() || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
-				continue // a gang that is to have it must not be kept off again
-			}
-			if w := v.Wait(s.now, j.entry); w < soonest {
-				best, soonest = m, w
-			}
+	return begun
+}
+
+// wantsDraining says whether a machine may be drained for j: gangs have room
+// kept by the dispatch rule, and prod work stops other work.
+func (s *State) wantsDraining(j *job) bool {
+	return j.entry.Waiting > 0 && j.rank != model.Rank(model.Prod) && j.Kind != model.Gang && s.withinLimit(j, 1)
+}
+
+// soonestRoom is the machine that should have room for a task of j first, or nil.
+func (s *State) soonestRoom(j *job, env *roundEnv) *machine {
+	var best *machine
+	soonest := sched.Never
+	for _, v := range env.views {
+		m := v.Ref.(*machine)
+		if v.Held() || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+			continue // a gang that is to have it must not be kept off again
 		}
-		if best == nil {
-			continue
+		if w := v.Wait(s.now, j.entry); w < soonest {
+			best, soonest = m, w
 		}
-		left--
-		best.keptFor, best.draining, best.keptUntil = j, true, s.now+s.cfg.ReportEvery
 	}
+	return best
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -11,25 +11,8 @@
 // takeReport takes a worker's report.
 func (s *State) takeReport(e ReportIn) {
 	s.unreached = false
-	if !s.Leading() {
-		if s.leadership != nil && s.electedAt != 0 {
-			// Not caught up yet: neither a 200 nor a redirect.
-			s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"not ready to lead"}})
-			return
-		}
-		s.emit(Reply{Req: e.Req, Status: 421, Body: Redirect{s.leaderName()}})
-		return
-	}
 	r := &e.Report
-	if s.recentlyReturned(r.Host) {
-		// A late copy: the cloud has confirmed that the machine is gone.
-		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"machine was returned"}})
-		return
-	}
-	if r.Epoch>>fenceBits > s.leadership.Term {
-		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.leadership.Term)
-		s.stepDown("a worker has seen a higher term")
-		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"superseded"}})
+	if s.refuseReport(e.Req, r) {
 		return
 	}
 	_, known := s.machines[r.Host]
@@ -38,19 +21,47 @@
 		m.standing = s.foundFirst()
 	}
 	s.describe(m, r.Endpoint, r.Type, r.Zone, r.Spot)
-	h := pendingReport{req: e.Req, m: m, r: r, at: s.now}
+	s.sortReport(pendingReport{req: e.Req, m: m, r: r, at: s.now})
+}
+
+// refuseReport answers a report that this node must not act on: it doesn't lead,
+// the machine was returned, or its worker has heard of a later leader.
+func (s *State) refuseReport(req uint64, r *model.Report) bool {
+	switch {
+	case !s.Leading() && s.leadership != nil && s.electedAt != 0:
+		// Not caught up yet: neither a 200 nor a redirect.
+		s.refuseWorker(req, "not ready to lead")
+	case !s.Leading():
+		s.emit(Reply{Req: req, Status: 421, Body: Redirect{s.leaderName()}})
+	case s.recentlyReturned(r.Host):
+		// A late copy: the cloud has confirmed that the machine is gone.
+		s.refuseWorker(req, "machine was returned")
+	case r.Epoch>>fenceBits > s.leadership.Term:
+		s.log(slog.LevelInfo, "a worker has seen a higher term", "host", r.Host, "epoch", r.Epoch, "term", s.leadership.Term)
+		s.stepDown("a worker has seen a higher term")
+		s.refuseWorker(req, "superseded")
+	default:
+		return false
+	}
+	return true
+}
+
+// refuseWorker sends a worker to the next controller.
+func (s *State) refuseWorker(req uint64, why string) {
+	s.emit(Reply{Req: req, Status: 503, Body: Problem{why}})
+}
+
+// sortReport tells news of a machine from late copies of its reports.
+func (s *State) sortReport(h pendingReport) {
+	m, r := h.m, h.r
 	switch {
 	case r.Epoch < m.least && (r.Session != m.session || r.Seq > m.seq):
 		// A worker's epoch only grows: this is from before it began anew, or it
 		// has just done so and nobody knows yet.
-		s.lateDones(r)
-		s.askAgain(m)
-		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"report is from another life of this machine"}})
+		s.notNews(h, "report is from another life of this machine")
 	case r.Session < m.session || m.lapsed && r.Session == m.session && m.session != 0:
 		// Of a session that is over: nothing may renew that lease.
-		s.lateDones(r)
-		s.askAgain(m)
-		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"session is over"}})
+		s.notNews(h, "session is over")
 	case r.Session == m.session && r.Seq <= m.seq:
 		s.overtaken(h)
 	case m.session != 0 && r.Session > m.session && m.endpoint != "":
@@ -63,12 +74,20 @@
 	case m.lapsed && m.session == 0:
 		// Lost before it was ever heard of in this term: only its own word
 		// tells a report of now from one of before.
-		s.emit(Reply{Req: e.Req, Status: 503, Body: Problem{"busy"}})
+		s.refuseWorker(h.req, "busy")
 	default:
 		s.accept(h)
 	}
 }
 
+// notNews refuses a report that is older than what its machine has shown, but
+// for what has completed, and asks the machine for its own word.
+func (s *State) notNews(h pendingReport, why string) {
+	s.lateDones(h.r)
+	s.askAgain(h.m)
+	s.refuseWorker(h.req, why)
+}
+
 // overtaken answers a report that is older than what its machine has shown
 // since: the answer to a direct command came first, or the report is a late
 // copy. Only the first kind has a worker waiting for the answer, which may
@@ -123,7 +142,7 @@
 func (s *State) prove(h pendingReport) {
 	m := h.m
 	if m.proof != nil {
-		s.emit(Reply{Req: m.proof.req, Status: 503, Body: Problem{"overtaken"}})
+		s.refuseWorker(m.proof.req, "overtaken")
 	}
 	m.proof = &h
 	if !m.direct && s.mayProbe() {
@@ -141,7 +160,7 @@
 	switch {
 	case !alive || s.machines[m.host] != m || h.r.Session != m.session || m.lapsed:
 		s.lateDones(h.r)
-		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"machine does not answer"}})
+		s.refuseWorker(h.req, "machine does not answer")
 	case h.r.Session == m.session && h.r.Seq <= m.seq:
 		s.overtaken(*h)
 	default:
@@ -156,7 +175,7 @@
 	s.report(m, r, true)
 	s.checkDelivery(m, r)
 	if m.reach.lost {
-		s.emit(Reply{Req: h.req, Status: 503, Body: Problem{"answers don't reach this machine"}})
+		s.refuseWorker(h.req, "answers don't reach this machine")
 		return
 	}
 	if !m.rostered && !m.adopted && !m.direct && s.mayProbe() && m.endpoint != "" {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -76,54 +76,70 @@
 
 const txnBytes = 48 << 10 // of the protocol's 64 KiB, leaving room for guards
 
+// pumpWriter sends the next transaction, if none is under way.
 func (s *State) pumpWriter() {
 	if s.writing || len(s.queue) == 0 || s.now < s.writerAt {
 		return
 	}
-	var batch, rest []*write
-	ops, size := 0, 0
-	led := false
-	keys := map[string]bool{}
 	waiting := s.queue
 	s.queue = nil // what the callbacks below add is kept behind
+	b := &batch{maxOps: s.cfg.TxnOps, keys: map[string]bool{}}
 	for _, w := range waiting {
-		if w.leader != 0 && (!s.Leading() || s.leadership.Term != w.leader) {
+		if s.outdated(w) {
 			w.done(failed)
 			continue
 		}
-		if s.now >= w.deadline || w.moot != nil && w.moot() {
-			w.done(failed)
-			continue
-		}
-		n := 1 + len(w.extra)
-		if ops+n > s.cfg.TxnOps && ops > 0 || size+len(w.change.Value) > txnBytes && ops > 0 || keys[w.change.Key] {
-			rest = append(rest, w)
-			continue
-		}
-		if ops > 0 && led != (w.leader != 0) {
-			// A user's change must not fail with a leader's term.
-			rest = append(rest, w)
-			continue
-		}
-		led = w.leader != 0
-		keys[w.change.Key] = true
-		ops += n
-		size += len(w.change.Value) + 2*len(w.change.Key) + 64
-		batch = append(batch, w)
+		b.add(w)
 	}
 	late := s.queue
-	s.queue = append(batch[:len(batch):len(batch)], rest...)
+	s.queue = append(b.writes[:len(b.writes):len(b.writes)], b.rest...)
 	for _, w := range late {
 		s.enqueue(w)
 	}
-	if len(batch) == 0 || !s.writeRate.AllowN(s.at(), min(ops, s.writeRate.Burst())) || !s.storeRate.AllowN(s.at(), 1) {
+	if len(b.writes) == 0 || !s.writeRate.AllowN(s.at(), min(b.ops, s.writeRate.Burst())) || !s.storeRate.AllowN(s.at(), 1) {
 		return
 	}
 	s.queue = s.queue[:0:0]
-	for _, w := range append(rest, late...) {
+	for _, w := range append(b.rest, late...) {
 		s.enqueue(w)
 	}
-	s.transact(batch, led)
+	s.transact(b.writes, b.led)
+}
+
+// outdated says whether w is not to be tried any more: its leadership or its time
+// is over, or it is no longer wanted.
+func (s *State) outdated(w *write) bool {
+	if w.leader != 0 && (!s.Leading() || s.leadership.Term != w.leader) {
+		return true
+	}
+	return s.now >= w.deadline || w.moot != nil && w.moot()
+}
+
+// batch gathers writes for one transaction, within the state service's limits.
+type batch struct {
+	maxOps    int
+	writes    []*write
+	rest      []*write // for the transactions to come
+	ops, size int
+	led       bool // backed by a leadership
+	keys      map[string]bool
+}
+
+// add takes w into the transaction, or leaves it for a later one.
+func (b *batch) add(w *write) {
+	n := 1 + len(w.extra)
+	full := b.ops > 0 && (b.ops+n > b.maxOps || b.size+len(w.change.Value) > txnBytes)
+	// A user's change must not fail with a leader's term.
+	mixed := b.ops > 0 && b.led != (w.leader != 0)
+	if full || mixed || b.keys[w.change.Key] {
+		b.rest = append(b.rest, w)
+		return
+	}
+	b.led = w.leader != 0
+	b.keys[w.change.Key] = true
+	b.ops += n
+	b.size += len(w.change.Value) + 2*len(w.change.Key) + 64
+	b.writes = append(b.writes, w)
 }
 
 func (s *State) transact(batch []*write, led bool) {
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -135,52 +135,25 @@
 		passed = earlier(ahead, j, env)
 	}
 	for first := true; j.Waiting > 0; first = false {
-		if !first {
-			if env.Spent() {
-				return false
-			}
-			if !env.UnderLimit(j) {
-				return true
-			}
+		if !first && env.Spent() {
+			return false
+		}
+		if !first && !env.UnderLimit(j) {
+			return true
 		}
 		for _, a := range passed {
 			if a.Skips >= r.cfg.SkipLimit && !a.holding {
 				r.hold(now, a, machines, env)
 			}
 		}
-		atLimit := j.Skips >= r.cfg.SkipLimit
 		best, ok := c.best(env)
 		if !ok {
-			// Without a roomy machine there is nothing to compare with: the
-			// dispatcher runs when a task waits and a machine has room for it.
-			// A task that took to a holder's queue then was stuck behind one
-			// estimate while machines became free elsewhere.
-			if atLimit && !j.holding && len(roomy) > 0 {
-				r.hold(now, j, machines, env)
-			}
+			r.nowhere(now, j, machines, roomy, env)
 			return true
 		}
-		path := Hit
-		switch {
-		case best.hit && len(passed) > 0:
-			path = SkipHit
-		case best.hit:
-		case atLimit:
-			path = AtLimit
-		default:
-			if busy, cost := c.soonestHolder(machines, env); cost < best.cost {
-				busy.Local = append(busy.Local, Queued{Job: j, Until: now + max(cost, time.Second)})
-				j.Waiting--
-				c.holderChanged(busy)
-				continue
-			}
-			// Only a hit may overtake on the ordinary path. The exception: the
-			// tasks ahead found no machine in this very round, so holding this
-			// one back would leave the machine idle and help nobody.
-			path = Fetched
-			if len(passed) > 0 {
-				path = Passing
-			}
+		path, waits := r.path(c, best, len(passed) > 0, machines, env)
+		if waits {
+			continue
 		}
 		if !env.Place(j, best.m, path) {
 			return true
@@ -193,6 +166,42 @@
 	return true
 }
 
+// nowhere takes that no machine has room for j. Without a roomy machine there is
+// nothing to compare with: the dispatcher runs when a task waits and a machine has
+// room for it. A task that took to a holder's queue then was stuck behind one
+// estimate while machines became free elsewhere.
+func (r *Round) nowhere(now time.Duration, j *Job, machines, roomy []*Machine, env Env) {
+	if j.Skips >= r.cfg.SkipLimit && !j.holding && len(roomy) > 0 {
+		r.hold(now, j, machines, env)
+	}
+}
+
+// path is the way by which a task of the job goes to the best machine; waits says
+// that it has joined the local queue of a holder instead.
+func (r *Round) path(c *choices, best choice, passes bool, machines []*Machine, env Env) (path Path, waits bool) {
+	switch {
+	case best.hit && passes:
+		return SkipHit, false
+	case best.hit:
+		return Hit, false
+	case c.job.Skips >= r.cfg.SkipLimit:
+		return AtLimit, false
+	}
+	if busy, cost := c.soonestHolder(machines, env); cost < best.cost {
+		busy.Local = append(busy.Local, Queued{Job: c.job, Until: c.now + max(cost, time.Second)})
+		c.job.Waiting--
+		c.holderChanged(busy)
+		return "", true
+	}
+	// Only a hit may overtake on the ordinary path. The exception: the
+	// tasks ahead found no machine in this very round, so holding this
+	// one back would leave the machine idle and help nobody.
+	if passes {
+		return Passing, false
+	}
+	return Fetched, false
+}
+
 // hold keeps the machine that should have room soonest free for a task at its
 // skip limit, which would otherwise starve behind smaller ones.
 func (r *Round) hold(now time.Duration, j *Job, machines []*Machine, env Env) {
