--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -142,31 +142,43 @@
 	}
 	switch st.Phase {
 	case model.PhaseDone:
-		if len(t.done) < t.spec.Tasks {
-			c.broken("not_done", "%s with %d of %d", id, len(t.done), t.spec.Tasks)
-		}
-		if !t.toldDone {
-			t.toldDone, t.toldAt = true, c.w.Now
-			c.Finished++
-			c.w.Users.lookClosely(t)
-		}
+		c.toldDone(t)
 	case model.PhaseAborted:
-		if !t.asked {
-			c.broken("went_back", "%s is called cancelled unasked", id)
-		}
-		if t.toldCancelled == 0 {
-			t.toldCancelled, t.toldAt = c.w.Now, c.w.Now
-			c.w.Users.lookClosely(t)
-			limit := c.w.Opt.Config.CancelIn
-			c.w.After(limit+time.Millisecond, func() {
-				for task := range t.on {
-					c.broken("ran_cancelled", "%s", task)
-				}
-			})
-		}
+		c.toldCancelled(t)
+	}
+}
+
+// toldDone checks that a job is done as its user is told.
+func (c *Checker) toldDone(t *truth) {
+	if len(t.done) < t.spec.Tasks {
+		c.broken("not_done", "%s with %d of %d", t.spec.ID, len(t.done), t.spec.Tasks)
+	}
+	if !t.toldDone {
+		t.toldDone, t.toldAt = true, c.w.Now
+		c.Finished++
+		c.w.Users.lookClosely(t)
 	}
 }
 
+// toldCancelled checks that a job was cancelled by its user, who is told so, and
+// that all its tasks are gone in time.
+func (c *Checker) toldCancelled(t *truth) {
+	if !t.asked {
+		c.broken("went_back", "%s is called cancelled unasked", t.spec.ID)
+	}
+	if t.toldCancelled != 0 {
+		return
+	}
+	t.toldCancelled, t.toldAt = c.w.Now, c.w.Now
+	c.w.Users.lookClosely(t)
+	limit := c.w.Opt.Config.CancelIn
+	c.w.After(limit+time.Millisecond, func() {
+		for task := range t.on {
+			c.broken("ran_cancelled", "%s", task)
+		}
+	})
+}
+
 // leftWaiting is how long a job may wait, once troubles are over, beside a
 // machine that has room for it (as the operators added to the protocol).
 const leftWaiting = 90 * time.Second
@@ -187,56 +199,78 @@
 	c.w.After(time.Second, c.Waits)
 }
 
-// couldStart says whether a task of t that is on no machine could be on one.
+// couldStart says whether a task of t that is on no machine could be on one; of a
+// gang, all of them.
 func (c *Checker) couldStart(t *truth) bool {
 	j := &t.spec
-	left := j.Tasks - len(t.done)
-	zones, pulling := map[string]int{}, map[string]bool{}
+	left, used, zones := c.placed(t)
+	limit := c.w.Opt.Config.Teams[j.Team].Limit.CPUs
+	if left <= 0 || limit > 0 && used+j.CPUs > limit {
+		return false
+	}
+	need := 1
+	if j.Kind == model.Gang {
+		need = j.Tasks
+	}
+	room := map[string]int{} // by zone, or in all of them
+	for _, e := range sortedKeys(c.w.Workers) {
+		wk := c.w.Workers[e]
+		if !wk.takesWork() || !allows(j, wk, zones) {
+			continue
+		}
+		zone := wk.info.Zone
+		if !j.OneZone {
+			zone = ""
+		}
+		if room[zone] += wk.fits(t); room[zone] >= need {
+			return true
+		}
+	}
+	return false
+}
+
+// placed counts the tasks of t that want a machine, the CPUs that its team uses,
+// and t's tasks on machines by zone.
+func (c *Checker) placed(t *truth) (left int, used float64, zones map[string]int) {
+	left, zones = t.spec.Tasks-len(t.done), map[string]int{}
 	for task, wk := range t.on {
 		if !t.done[task] {
 			left--
 		}
 		zones[wk.info.Zone]++
 	}
-	used := 0.0
+	fetching := map[string]bool{}
 	for _, e := range sortedKeys(c.w.Workers) {
 		for task, r := range c.w.Workers[e].tasks {
 			o := c.jobOf(task)
-			if r.state != model.TaskExited && o.spec.Team == j.Team {
+			if r.state != model.TaskExited && o.spec.Team == t.spec.Team {
 				used += o.spec.CPUs
 			}
-			if r.state == model.TaskFetching && o == t && !pulling[task] && !t.done[task] {
-				pulling[task] = true
+			if r.state == model.TaskFetching && o == t && !fetching[task] && !t.done[task] {
+				fetching[task] = true
 				left--
 				zones[c.w.Workers[e].info.Zone]++
 			}
 		}
 	}
-	lim := c.w.Opt.Config.Teams[j.Team].Limit
-	if left <= 0 || lim.CPUs > 0 && used+j.CPUs > lim.CPUs {
+	return left, used, zones
+}
+
+// takesWork says whether the machine is in reach and stays.
+func (wk *Worker) takesWork() bool {
+	return !wk.Hung && !wk.Deaf && !wk.Mute && wk.recallAt == 0
+}
+
+// allows says whether a task of j may be on wk, beside its tasks in each zone.
+func allows(j *model.Job, wk *Worker, zones map[string]int) bool {
+	here := zones[wk.info.Zone]
+	switch {
+	case !j.AllowsType(wk.info.Type), j.Zone != "" && j.Zone != wk.info.Zone, wk.info.Spot && !j.Spot:
+		return false
+	case j.Spread && here >= j.ZoneCap():
 		return false
 	}
-	together := map[string]int{} // of a gang: tasks for which a zone has room
-	for _, e := range sortedKeys(c.w.Workers) {
-		wk := c.w.Workers[e]
-		here := zones[wk.info.Zone]
-		if wk.Hung || wk.Deaf || wk.Mute || wk.recallAt != 0 || !j.AllowsType(wk.info.Type) || j.Zone != "" && j.Zone != wk.info.Zone ||
-			wk.info.Spot && !j.Spot || j.Spread && here >= j.ZoneCap() || j.OneZone && here == 0 && len(zones) > 0 {
-			continue
-		}
-		zone := wk.info.Zone
-		if !j.OneZone {
-			zone = ""
-		}
-		need := 1
-		if j.Kind == model.Gang {
-			need = j.Tasks
-		}
-		if together[zone] += wk.fits(t); together[zone] >= need {
-			return true
-		}
-	}
-	return false
+	return !j.OneZone || here > 0 || len(zones) == 0
 }
 
 // Jobs counts the jobs that were accepted and neither cancelled nor services,
--- a/internal/sim/gang.go
+++ b/internal/sim/gang.go
@@ -74,53 +74,67 @@
 
 // advanceGang moves a gang's task along that has its image.
 func (wk *Worker) advanceGang(name string, r *run, t *truth) {
-	w, g := wk.w, t.gang(r.attempt)
-	peer := w.Opt.Config.GangPeer
+	g := t.gang(r.attempt)
 	for _, m := range g.members { // a machine that hangs is noticed as well
 		if g.started && m.Hung && g.broken == 0 && !g.over {
-			g.broken = w.Now
-			g.settle(w.Now)
+			g.broken = wk.w.Now
+			g.settle(wk.w.Now)
 		}
 	}
 	switch r.state {
 	case model.TaskGathering:
-		if w.Now >= r.began+w.Opt.Config.GangWait {
+		if wk.w.Now >= r.began+wk.w.Opt.Config.GangWait {
 			wk.exit(name, r, model.CauseAlone)
 		}
 	case model.TaskRunning:
-		switch {
-		case t.done[name]:
-			wk.exit(name, r, model.CauseDone)
-		case g.broken != 0 && w.Now >= g.broken+peer/2, g.killed != 0 && w.Now >= g.killed+peer:
-			wk.exit(name, r, model.CausePeers)
-		case g.killed == 0 && g.broken == 0 && w.Now >= r.end:
-			g.over = true
-			for i := range t.spec.Tasks {
-				t.done[model.TaskName(t.spec.ID, i)] = true
-			}
-			w.tell("gang %s attempt %d is done", t.spec.ID, g.attempt)
-			wk.exit(name, r, model.CauseDone)
-		}
+		wk.advanceRunning(name, r, g)
 	case model.TaskSaving:
-		if w.Now >= r.end {
-			g.saved[name] = true
-		}
-		switch {
-		case len(g.saved) == t.spec.Tasks && g.broken == 0:
-			if !g.over {
-				g.over = true
-				t.progress += g.killed - g.at
-				w.tell("gang %s attempt %d has saved %v", t.spec.ID, g.attempt, t.progress)
-			}
-			r.saved = true
-			wk.exit(name, r, model.CauseStopped)
-		case r.saved, g.over && g.broken == 0:
-			r.saved = true
-			wk.exit(name, r, model.CauseStopped)
-		case g.broken != 0 && w.Now >= g.broken+peer/2, w.Now >= g.killed+peer:
-			g.settle(w.Now)
-			wk.exit(name, r, model.CausePeers)
+		wk.advanceSaving(name, r, g)
+	}
+}
+
+// missesPeers says whether a task has noticed by now that another is gone, or that
+// it wasn't told of a stop in time.
+func (g *gangRun) missesPeers(now, peer time.Duration) bool {
+	return g.broken != 0 && now >= g.broken+peer/2 || g.killed != 0 && now >= g.killed+peer
+}
+
+// advanceRunning completes a gang, or ends a task that is left behind.
+func (wk *Worker) advanceRunning(name string, r *run, g *gangRun) {
+	w, t := wk.w, g.t
+	switch {
+	case t.done[name]:
+		wk.exit(name, r, model.CauseDone)
+	case g.missesPeers(w.Now, w.Opt.Config.GangPeer):
+		wk.exit(name, r, model.CausePeers)
+	case g.killed == 0 && g.broken == 0 && w.Now >= r.end:
+		g.over = true
+		for i := range t.spec.Tasks {
+			t.done[model.TaskName(t.spec.ID, i)] = true
 		}
+		w.tell("gang %s attempt %d is done", t.spec.ID, g.attempt)
+		wk.exit(name, r, model.CauseDone)
+	}
+}
+
+// advanceSaving ends a task once all have saved, or can't.
+func (wk *Worker) advanceSaving(name string, r *run, g *gangRun) {
+	w, t := wk.w, g.t
+	if w.Now >= r.end {
+		g.saved[name] = true
+	}
+	if len(g.saved) == t.spec.Tasks && g.broken == 0 && !g.over {
+		g.over = true
+		t.progress += g.killed - g.at
+		w.tell("gang %s attempt %d has saved %v", t.spec.ID, g.attempt, t.progress)
+	}
+	switch {
+	case r.saved, g.over && g.broken == 0:
+		r.saved = true
+		wk.exit(name, r, model.CauseStopped)
+	case g.missesPeers(w.Now, w.Opt.Config.GangPeer):
+		g.settle(w.Now)
+		wk.exit(name, r, model.CausePeers)
 	}
 }
 
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -144,88 +144,107 @@
 	}
 }
 
+// do carries a call out at once.
 func (s *Store) do(c core.StoreCall) core.StoreDone {
 	d := core.StoreDone{Call: c.Call, Status: 200, Rev: s.rev}
 	switch c.Op {
 	case core.StoreList:
-		keys := sortedKeys(s.items)
-		i := sort.SearchStrings(keys, c.Prefix)
-		for ; i < len(keys) && strings.HasPrefix(keys[i], c.Prefix); i++ {
-			if keys[i] <= c.From {
-				continue
-			}
-			if len(d.Items) == c.Limit {
-				d.More = true
-				break
-			}
-			it := s.items[keys[i]]
-			d.Items = append(d.Items, core.Item{Key: keys[i], Value: it.value, Stamp: it.stamp})
-		}
+		s.list(c, &d)
 	case core.StoreWatch:
-		last := map[string]int{}
 		for _, it := range s.log {
 			if it.Stamp > c.After && strings.HasPrefix(it.Key, c.Prefix) {
 				d.Items = append(d.Items, it)
-				last[it.Key]++
 			}
 		}
 	case core.StoreLease:
 		s.next++
 		s.leases[s.next] = &lease{c.Life, s.w.Now + c.Life}
 		d.Lease = s.next
-	case core.StoreRenew:
-		l := s.leases[c.Lease]
-		if l == nil {
-			d.Status = 404
-			break
-		}
-		l.ends = s.w.Now + l.life
-	case core.StoreRevoke:
-		if s.leases[c.Lease] == nil {
-			d.Status = 404
-			break
-		}
-		s.endLease(c.Lease)
+	case core.StoreRenew, core.StoreRevoke:
+		s.changeLease(c, &d)
 	case core.StoreTxn:
-		s.Txns++
-		if d.Status = s.beyond(c); d.Status != 200 {
-			return d
-		}
-		for _, ch := range c.Then {
-			if ch.Lease != 0 && s.leases[ch.Lease] == nil {
-				d.Status, d.Err = 400, "no such lease"
-				return d
-			}
+		s.transact(c, &d)
+	}
+	return d
+}
+
+// list returns keys in order, as many as were asked for.
+func (s *Store) list(c core.StoreCall, d *core.StoreDone) {
+	keys := sortedKeys(s.items)
+	for i := sort.SearchStrings(keys, c.Prefix); i < len(keys) && strings.HasPrefix(keys[i], c.Prefix); i++ {
+		if keys[i] <= c.From {
+			continue
 		}
-		for _, g := range c.Guards {
-			have := uint64(0)
-			if it := s.items[g.Key]; it != nil {
-				have = it.stamp
-			}
-			if have != g.Stamp {
-				d.Failed = append(d.Failed, g.Key)
-			}
+		if len(d.Items) == c.Limit {
+			d.More = true
+			return
 		}
-		if len(d.Failed) > 0 {
-			d.Status = 409
-			return d
+		it := s.items[keys[i]]
+		d.Items = append(d.Items, core.Item{Key: keys[i], Value: it.value, Stamp: it.stamp})
+	}
+}
+
+// changeLease renews a lease or ends it.
+func (s *Store) changeLease(c core.StoreCall, d *core.StoreDone) {
+	l := s.leases[c.Lease]
+	switch {
+	case l == nil:
+		d.Status = 404
+	case c.Op == core.StoreRenew:
+		l.ends = s.w.Now + l.life
+	default:
+		s.endLease(c.Lease)
+	}
+}
+
+// transact carries a transaction out if its guards hold.
+func (s *Store) transact(c core.StoreCall, d *core.StoreDone) {
+	s.Txns++
+	if d.Status = s.beyond(c); d.Status != 200 {
+		return
+	}
+	for _, ch := range c.Then {
+		if ch.Lease != 0 && s.leases[ch.Lease] == nil {
+			d.Status, d.Err = 400, "no such lease"
+			return
 		}
-		s.rev++
-		for _, ch := range c.Then {
-			if ch.Remove {
-				if s.items[ch.Key] != nil {
-					delete(s.items, ch.Key)
-					s.log = append(s.log, core.Item{Key: ch.Key, Stamp: s.rev, Removed: true})
-				}
-				continue
-			}
-			s.items[ch.Key] = &stored{ch.Value, s.rev, ch.Lease}
-			s.log = append(s.log, core.Item{Key: ch.Key, Value: ch.Value, Stamp: s.rev})
+	}
+	for _, g := range c.Guards {
+		if s.stampOf(g.Key) != g.Stamp {
+			d.Failed = append(d.Failed, g.Key)
 		}
-		d.Rev = s.rev
-		s.w.After(0, s.wake)
 	}
-	return d
+	if len(d.Failed) > 0 {
+		d.Status = 409
+		return
+	}
+	s.rev++
+	for _, ch := range c.Then {
+		s.change(ch)
+	}
+	d.Rev = s.rev
+	s.w.After(0, s.wake)
+}
+
+// stampOf is the version of a key; 0 where it does not exist.
+func (s *Store) stampOf(key string) uint64 {
+	if it := s.items[key]; it != nil {
+		return it.stamp
+	}
+	return 0
+}
+
+// change sets or removes a key at the present revision.
+func (s *Store) change(ch core.Change) {
+	if !ch.Remove {
+		s.items[ch.Key] = &stored{ch.Value, s.rev, ch.Lease}
+		s.log = append(s.log, core.Item{Key: ch.Key, Value: ch.Value, Stamp: s.rev})
+		return
+	}
+	if s.items[ch.Key] != nil {
+		delete(s.items, ch.Key)
+		s.log = append(s.log, core.Item{Key: ch.Key, Stamp: s.rev, Removed: true})
+	}
 }
 
 // beyond is what a transaction gets that is beyond the limits: 400 or 429.
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -189,6 +189,7 @@
 	return rep
 }
 
+// beat sends a report.
 func (wk *Worker) beat() {
 	w := wk.w
 	wk.changed = false
@@ -200,23 +201,9 @@
 	sent, session := w.Now, wk.session
 	rep := wk.report()
 	node := w.Nodes[wk.target]
-	if w.Copies > 0 && w.Rnd.Float64() < w.Copies {
-		// A copy of the report comes late, to whichever controller.
-		late, to := rep, w.Nodes[w.Rnd.IntN(len(w.Nodes))]
-		w.After(time.Second+time.Duration(w.Rnd.Int64N(int64(3*w.Opt.Config.Lease))), func() {
-			to.ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: late} }, func(core.Reply) {})
-		})
-	}
-	if w.ForNext > 0 && w.Rnd.Float64() < w.ForNext {
-		w.kept = append(w.kept, rep)
-	}
-	next := func(wait time.Duration, target int) {
-		wk.inFlight = 0
-		wk.target = target
-		wk.nextBeat = w.Now + wait
-	}
+	wk.copyReport(rep)
 	if wk.Mute {
-		next(time.Second, (wk.target+1)%len(w.Nodes))
+		wk.turnTo(time.Second, wk.following())
 		return
 	}
 	node.ask(wk.info.Endpoint, func(req uint64) core.Event { return core.ReportIn{Req: req, Report: rep} }, func(r core.Reply) {
@@ -224,46 +211,76 @@
 			return // given up: dropped
 		}
 		if wk.Unanswered {
-			next(time.Second, (wk.target+1)%len(w.Nodes)) // the connection broke
+			wk.turnTo(time.Second, wk.following()) // the connection broke
 			return
 		}
 		if wk.Hung || wk.Deaf {
 			return // the time limit below moves it on
 		}
-		switch r.Status {
-		case 200:
-			wk.inFlight = 0
-			body := r.Body.(core.ReportReply)
-			if session != wk.session || body.Epoch < wk.epoch || body.Epoch == 0 {
-				return
-			}
-			if body.Epoch > wk.epoch {
-				wk.epoch, wk.changed = body.Epoch, true
-			}
-			wk.leaseFrom = max(wk.leaseFrom, sent)
-			wk.execute(body.Orders)
-		case 421:
-			to := (wk.target + 1) % len(w.Nodes)
-			wait := time.Second
-			if red, ok := r.Body.(core.Redirect); ok && red.Leader != "" && red.Leader != node.Name {
-				for i, o := range w.Nodes {
-					if o.Name == red.Leader {
-						to, wait = i, time.Duration(w.Rnd.Int64N(int64(500*time.Millisecond)))
-					}
-				}
-			}
-			next(wait, to)
-		default:
-			next(time.Second, (wk.target+1)%len(w.Nodes))
-		}
+		wk.answered(node, sent, session, r)
 	})
 	w.After(4*time.Second, func() {
 		if wk.inFlight == number {
-			next(time.Second, (wk.target+1)%len(w.Nodes))
+			wk.turnTo(time.Second, wk.following())
 		}
 	})
 }
 
+// copyReport has copies of a report come late, if the day wants that.
+func (wk *Worker) copyReport(rep model.Report) {
+	w := wk.w
+	if w.Copies > 0 && w.Rnd.Float64() < w.Copies {
+		// To whichever controller.
+		to := w.Nodes[w.Rnd.IntN(len(w.Nodes))]
+		w.After(time.Second+time.Duration(w.Rnd.Int64N(int64(3*w.Opt.Config.Lease))), func() {
+			to.ask("copy", func(req uint64) core.Event { return core.ReportIn{Req: req, Report: rep} }, func(core.Reply) {})
+		})
+	}
+	if w.ForNext > 0 && w.Rnd.Float64() < w.ForNext {
+		w.kept = append(w.kept, rep)
+	}
+}
+
+// following is the controller after the one that it reports to.
+func (wk *Worker) following() int { return (wk.target + 1) % len(wk.w.Nodes) }
+
+// turnTo sends the next report to a controller, after a while.
+func (wk *Worker) turnTo(wait time.Duration, target int) {
+	wk.inFlight = 0
+	wk.target = target
+	wk.nextBeat = wk.w.Now + wait
+}
+
+// answered takes a controller's answer to a report.
+func (wk *Worker) answered(node *Node, sent time.Duration, session uint64, r core.Reply) {
+	w := wk.w
+	switch r.Status {
+	case 200:
+		wk.inFlight = 0
+		body := r.Body.(core.ReportReply)
+		if session != wk.session || body.Epoch < wk.epoch || body.Epoch == 0 {
+			return
+		}
+		if body.Epoch > wk.epoch {
+			wk.epoch, wk.changed = body.Epoch, true
+		}
+		wk.leaseFrom = max(wk.leaseFrom, sent)
+		wk.execute(body.Orders)
+	case 421:
+		to, wait := wk.following(), time.Second
+		if red, ok := r.Body.(core.Redirect); ok && red.Leader != "" && red.Leader != node.Name {
+			for i, o := range w.Nodes {
+				if o.Name == red.Leader {
+					to, wait = i, time.Duration(w.Rnd.Int64N(int64(500*time.Millisecond)))
+				}
+			}
+		}
+		wk.turnTo(wait, to)
+	default:
+		wk.turnTo(time.Second, wk.following())
+	}
+}
+
 func (wk *Worker) commands(c core.AgentCall, reply func(core.AgentDone)) {
 	run := func() {
 		if wk.dead {
@@ -307,51 +324,17 @@
 	wk.target = wk.w.Rnd.IntN(len(wk.w.Nodes))
 }
 
+// execute carries commands out in order.
 func (wk *Worker) execute(orders []model.Order) {
 	for _, o := range orders {
 		r := wk.tasks[o.Task]
 		switch o.Verb {
 		case model.Start:
-			if r != nil && r.attempt == o.Attempt {
-				continue
-			}
-			wk.changed = true
-			n := &run{attempt: o.Attempt, state: model.TaskFetching}
-			t := wk.w.Check.jobOf(o.Task)
-			switch {
-			case r != nil && r.state != model.TaskExited:
-				continue // in use: the running attempt stays on the list
-			case wk.w.RefuseNext != "":
-				n.state, n.cause = model.TaskExited, wk.w.RefuseNext
-				wk.w.RefuseNext = ""
-				wk.w.Refusals++
-			case t == nil:
-				n.state, n.cause = model.TaskExited, model.CauseUnknown
-			case wk.fits(t) == 0:
-				n.state, n.cause = model.TaskExited, model.CauseNoRoom
-			case wk.images[t.spec.Image]:
-				n.end = wk.w.Now
-			default:
-				n.end = wk.w.Now + time.Duration(t.spec.ImageGB/wk.typ.FetchRate*float64(time.Second))
-			}
-			wk.tasks[o.Task] = n
+			wk.start(o, r)
 		case model.Kill:
-			if r == nil || r.attempt != o.Attempt || r.state == model.TaskExited {
-				continue
-			}
-			t := wk.w.Check.jobOf(o.Task)
-			if t.spec.Kind == model.Gang && r.state != model.TaskFetching {
-				wk.stopGang(o.Task, r, t, o.Grace)
-				continue
+			if r != nil && r.attempt == o.Attempt && r.state != model.TaskExited {
+				wk.kill(o, r)
 			}
-			if r.state == model.TaskRunning && t.spec.Checkpoint > 0 && o.Grace != nil && *o.Grace >= t.spec.SaveCost {
-				r.state, r.end, wk.changed = model.TaskSaving, wk.w.Now+time.Duration(t.spec.SaveCost*float64(time.Second)), true
-				continue
-			}
-			if r.state == model.TaskSaving && (o.Grace == nil || *o.Grace > 0) {
-				continue
-			}
-			wk.exit(o.Task, r, model.CauseStopped)
 		case model.Forget:
 			if r != nil && r.attempt == o.Attempt && r.state == model.TaskExited {
 				delete(wk.tasks, o.Task)
@@ -361,6 +344,51 @@
 	wk.advance()
 }
 
+// start begins an attempt, or refuses it; r is what the machine has of the task.
+func (wk *Worker) start(o model.Order, r *run) {
+	if r != nil && r.attempt == o.Attempt {
+		return
+	}
+	wk.changed = true
+	if r != nil && r.state != model.TaskExited {
+		return // in use: the running attempt stays on the list
+	}
+	n := &run{attempt: o.Attempt, state: model.TaskFetching}
+	t := wk.w.Check.jobOf(o.Task)
+	switch {
+	case wk.w.RefuseNext != "":
+		n.state, n.cause = model.TaskExited, wk.w.RefuseNext
+		wk.w.RefuseNext = ""
+		wk.w.Refusals++
+	case t == nil:
+		n.state, n.cause = model.TaskExited, model.CauseUnknown
+	case wk.fits(t) == 0:
+		n.state, n.cause = model.TaskExited, model.CauseNoRoom
+	case wk.images[t.spec.Image]:
+		n.end = wk.w.Now
+	default:
+		n.end = wk.w.Now + time.Duration(t.spec.ImageGB/wk.typ.FetchRate*float64(time.Second))
+	}
+	wk.tasks[o.Task] = n // from now on it takes room
+}
+
+// kill stops a task, which saves if it can and has the time.
+func (wk *Worker) kill(o model.Order, r *run) {
+	t := wk.w.Check.jobOf(o.Task)
+	if t.spec.Kind == model.Gang && r.state != model.TaskFetching {
+		wk.stopGang(o.Task, r, t, o.Grace)
+		return
+	}
+	if r.state == model.TaskRunning && t.spec.Checkpoint > 0 && o.Grace != nil && *o.Grace >= t.spec.SaveCost {
+		r.state, r.end, wk.changed = model.TaskSaving, wk.w.Now+time.Duration(t.spec.SaveCost*float64(time.Second)), true
+		return
+	}
+	if r.state == model.TaskSaving && (o.Grace == nil || *o.Grace > 0) {
+		return
+	}
+	wk.exit(o.Task, r, model.CauseStopped)
+}
+
 // fits is for how many tasks of a job the machine has room.
 func (wk *Worker) fits(t *truth) int {
 	cpus, mem := wk.typ.CPUs, wk.typ.MemoryGB
