--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -1,13 +1,9 @@
 package core
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"log/slog"
-	"math/bits"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"mulleinfall/internal/model"
@@ -52,27 +48,6 @@
 	retryAt time.Duration
 }
 
-// bitmapValue is a part of a chunk in the state service: its bytes from From on.
-type bitmapValue struct {
-	Bits string `json:"b"`
-	From int    `json:"from,omitempty"`
-}
-
-// chunk is a slice of the finished-task bitmap with its own key, so that the
-// largest job fits the store's values.
-type chunk struct {
-	dirty   bool // bits not yet durable
-	writing bool
-	open    int           // writes of its parts under way
-	at      time.Duration // last write
-	durable []uint64
-}
-
-const (
-	chunkTasks = 32768
-	chunkWords = chunkTasks / 64
-)
-
 // need is what each task takes of its machine.
 func (j *job) need() sched.Resources {
 	return sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
@@ -184,48 +159,6 @@
 	}
 }
 
-// bitmapChanged merges finished tasks from the state service.
-func (s *State) bitmapChanged(name string, it Item) {
-	id, at, ok := strings.Cut(name, "/")
-	j := s.jobs[id]
-	first, _, _ := strings.Cut(at, ".") // the slices of a chunk differ behind the dot
-	n, err := strconv.Atoi(first)
-	if !ok || err != nil || j == nil || j.final() {
-		return
-	}
-	var v bitmapValue
-	if json.Unmarshal(it.Value, &v) != nil || v.From < 0 {
-		return
-	}
-	b, err := base64.StdEncoding.DecodeString(v.Bits)
-	if err != nil {
-		return
-	}
-	c := j.chunk(n)
-	for i := range b {
-		at := v.From + i
-		w := n*chunkWords + at/8
-		if w >= len(j.doneBits) || at/8 >= len(c.durable) {
-			break
-		}
-		word := uint64(b[i]) << (8 * (at % 8))
-		c.durable[at/8] |= word
-		fresh := word &^ j.doneBits[w]
-		j.doneBits[w] |= word
-		j.doneCount += bits.OnesCount64(fresh)
-	}
-}
-
-func (j *job) chunk(n int) *chunk {
-	c := j.chunks[n]
-	if c == nil {
-		words := min(chunkWords, len(j.doneBits)-n*chunkWords)
-		c = &chunk{durable: make([]uint64, max(words, 0))}
-		j.chunks[n] = c
-	}
-	return c
-}
-
 // finished notes that a task has completed, whoever reports it and however
 // late.
 func (s *State) finished(j *job, i int) {
@@ -256,15 +189,6 @@
 	j.chunk(i / chunkTasks).dirty = true
 }
 
-// durable says whether a finished task is safe to forget.
-func (j *job) durable(i int) bool {
-	if j.final() {
-		return true
-	}
-	c := j.chunks[i/chunkTasks]
-	return c != nil && c.durable[(i%chunkTasks)/64]&(1<<(i%64)) != 0
-}
-
 // finishJob makes "done" durable. Against a withdrawal the guard on the key
 // decides.
 func (s *State) finishJob(j *job) {
@@ -292,74 +216,3 @@
 		},
 	})
 }
-
-// keepBitmaps writes what has finished, each job at most every few seconds.
-func (s *State) keepBitmaps() {
-	if s.now < s.bitmapsAt {
-		return
-	}
-	s.bitmapsAt = s.now + s.cfg.WriteEvery/8
-	for _, id := range ordered(s.active) {
-		j := s.active[id]
-		if j.doneCount == j.Tasks {
-			s.finishJob(j)
-			continue
-		}
-		for _, n := range ordered(j.chunks) {
-			c := j.chunks[n]
-			if !c.dirty || c.writing || s.now < c.at+s.cfg.WriteEvery {
-				continue
-			}
-			s.writeChunk(j, n, c)
-		}
-	}
-}
-
-func (s *State) writeChunk(j *job, n int, c *chunk) {
-	c.dirty, c.writing, c.at = false, true, s.now
-	bits := append([]uint64(nil), j.doneBits[n*chunkWords:n*chunkWords+len(c.durable)]...)
-	b := make([]byte, 0, len(bits)*8)
-	for _, w := range bits {
-		for k := 0; k < 8; k++ {
-			b = append(b, byte(w>>(8*k)))
-		}
-	}
-	for len(b) > 0 && b[len(b)-1] == 0 {
-		b = b[:len(b)-1]
-	}
-	// A value holds so many bytes; the first part has the form that all versions
-	// read, and the others are written once all know them. Until then what they
-	// would hold isn't durable, so that workers keep it.
-	most := (s.cfg.ValueBytes - 64) * 3 / 4
-	last := max(len(b)-1, 0) / most * most
-	if s.clusterVersion < versionGangs && last > 0 {
-		if slices.ContainsFunc(c.durable[most/8:], func(w uint64) bool { return w != 0 }) {
-			c.dirty, c.writing = true, false
-			return // a larger value stands, and would lose what is beyond
-		}
-		last = 0
-	}
-	for from := last; from >= 0; from -= most { // the first last: what it sheds stands by then
-		part := b[from:min(from+most, len(b))]
-		key := dirProgress + j.ID + "/" + strconv.Itoa(n)
-		if from > 0 {
-			key += "." + strconv.Itoa(from/most)
-		}
-		c.open++
-		s.put(&write{
-			change:   Change{Key: key, Value: raw(bitmapValue{base64.StdEncoding.EncodeToString(part), from})},
-			leader:   s.leadership.Term,
-			deadline: s.now + time.Hour,
-			class:    classBitmap,
-			// Written after the job's end it would stay for ever.
-			moot: func() bool { return j.final() || j.finishing },
-			done: func(r outcome) {
-				c.open--
-				c.writing = c.open > 0
-				if r != written {
-					c.dirty = true
-				}
-			},
-		})
-	}
-}
--- /dev/null
+++ b/internal/core/submit.go
@@ -0,0 +1,139 @@
+package core
+
+import "mulleinfall/internal/model"
+
+// Submissions: what is accepted, refused for now, and refused for good.
+
+func (s *State) submit(o origin, spec model.Job, wall int64) {
+	if len(s.types) == 0 {
+		s.later(o, "machine types are not known yet")
+		return
+	}
+	if j := s.jobs[spec.ID]; j != nil {
+		s.poll(o, spec.ID) // the same id again: the job's state
+		return
+	}
+	if spec.Kind == model.Gang && s.cfg.GangWait == 0 {
+		s.answer(o, 400, Problem{"shape: gangs are not set up here"}, 0)
+		return
+	}
+	if spec.Kind == model.Gang && s.clusterVersion < versionGangs {
+		// A controller of the former version may still take this job over.
+		s.later(o, "not all controllers know gangs yet")
+		return
+	}
+	if why := s.impossible(&spec); why != "" {
+		// Only for a job that isn't known: an accepted one must not be
+		// refused later, whatever the settings say by then.
+		s.ifUnknown(o, spec.ID,
+			func() { s.answer(o, 422, Problem{why}, 0) },
+			func() bool { return s.passOn(o, "submit", spec.ID, raw(spec), wall) })
+		return
+	}
+	if s.storeAge() > s.storeGap() && s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+		return
+	}
+	if s.swamped() {
+		s.later(o, "too many submissions under way")
+		return
+	}
+	if !s.loaded || s.storeAge() > 2*s.storeGap() {
+		s.later(o, "the state service does not answer")
+		return
+	}
+	value := raw(jobValue{Spec: &spec, At: wall})
+	if len(value) > s.cfg.ValueBytes {
+		s.answer(o, 400, Problem{"job description too long"}, 0)
+		return
+	}
+	key := dirJobs + spec.ID
+	s.put(&write{
+		change:   Change{Key: key, Value: value},
+		deadline: s.now + userWait,
+		done: func(r outcome) {
+			switch r {
+			case written:
+				s.nudge(key, value)
+				s.answer(o, 201, JobStatus{ID: spec.ID, Phase: model.PhaseQueued}, 0)
+			case conflict:
+				// Known by now, through another node or an earlier try.
+				if s.jobs[spec.ID] != nil {
+					s.tell(o, s.jobs[spec.ID])
+					return
+				}
+				s.later(o, "try again")
+			default:
+				if !s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+					s.later(o, "the state service does not answer")
+				}
+			}
+		},
+	})
+}
+
+// ifUnknown calls f if no such job was accepted, and answers with the job's
+// state otherwise. pass tries a peer if that can't be told here.
+func (s *State) ifUnknown(o origin, id string, f func(), pass func() bool) {
+	if len(s.waiters) >= s.cfg.Requests {
+		s.later(o, "too many requests under way")
+		return
+	}
+	s.fresh(func(ok bool) {
+		switch j := s.jobs[id]; {
+		case !ok && pass():
+		case !ok:
+			s.later(o, "the state service does not answer")
+		case j != nil:
+			s.tell(o, j)
+		default:
+			f()
+		}
+	})
+}
+
+// impossible says why a job can never run, or nothing.
+func (s *State) impossible(j *model.Job) string {
+	team, ok := s.cfg.Teams[j.Team]
+	if !ok {
+		return "unknown team"
+	}
+	zones, fits := s.zonesFor(j)
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Kind != model.Batch {
+		n = float64(j.Tasks)
+	}
+	lim := team.Limit
+	if lim.CPUs > 0 && n*j.CPUs > lim.CPUs || lim.GPUs > 0 && n*j.GPUs > lim.GPUs {
+		return "the job needs more than its team's limit"
+	}
+	places := len(zones)
+	if j.OneZone {
+		places = min(places, 1)
+	}
+	if j.Kind == model.Gang && places > 0 && j.Tasks > places*j.ZoneCap() {
+		return "the gang's tasks can't be spread over the zones at the same time"
+	}
+	return ""
+}
+
+// zonesFor lists the zones in which a task of j fits an allowed machine type, and
+// says whether it fits any. Of a type without zones nothing final is said.
+func (s *State) zonesFor(j *model.Job) (zones map[string]bool, fits bool) {
+	zones = map[string]bool{}
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if !t.Fits(j) {
+			continue
+		}
+		fits = fits || j.Zone == ""
+		for _, zone := range t.ZonesAvail {
+			if j.Zone == "" || j.Zone == zone {
+				zones[zone], fits = true, true
+			}
+		}
+	}
+	return zones, fits
+}
