--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -62,7 +62,7 @@
 	soonest := sched.Never
 	for _, v := range env.views {
 		m := v.Ref.(*machine)
-		if v.Held() || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
+		if v.Reserved() || !v.Capacity.Fits(j.entry.Need) || !s.allowed(j, m) {
 			continue // a gang that is to have it must not be kept off again
 		}
 		if w := v.Wait(s.now, j.entry); w < soonest {
--- a/internal/sched/choices.go
+++ b/internal/sched/choices.go
@@ -46,7 +46,7 @@
 func newChoices(now time.Duration, j *Job, roomy []*Machine, env Env) *choices {
 	c := &choices{now: now, job: j}
 	for _, m := range roomy {
-		if !m.held && m.Free.Fits(j.Need) && env.Allowed(j, m) {
+		if !m.reserved && m.Free.Fits(j.Need) && env.Allowed(j, m) {
 			c.list = append(c.list, c.rate(m))
 		}
 	}
@@ -62,7 +62,7 @@
 // made may have been taken or ruled out since, by the tasks placed so far.
 func (c *choices) best(env Env) (choice, bool) {
 	for len(c.list) > 0 {
-		if top := c.list[0]; !top.m.held && env.Allowed(c.job, top.m) {
+		if top := c.list[0]; !top.m.reserved && env.Allowed(c.job, top.m) {
 			return top, true
 		}
 		heap.Pop(c)
@@ -90,7 +90,7 @@
 	if !c.looked {
 		c.looked = true
 		for _, m := range machines {
-			if !m.held && m.Capacity.Fits(c.job.Need) && !m.Free.Fits(c.job.Need) && m.holds(c.job) {
+			if !m.reserved && m.Capacity.Fits(c.job.Need) && !m.Free.Fits(c.job.Need) && m.holds(c.job) {
 				c.addHolder(m)
 			}
 		}
@@ -101,7 +101,7 @@
 		h := &c.holders[i]
 		// By name where equal: the order must not hang on who came when.
 		if h.cost < cost || h.cost == cost && best != nil && h.m.ID < best.ID {
-			if !h.m.held && env.Allowed(c.job, h.m) {
+			if !h.m.reserved && env.Allowed(c.job, h.m) {
 				best, cost = h.m, h.cost
 			}
 		}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -14,13 +14,13 @@
 	if !env.UnderLimit(j) {
 		return
 	}
-	places, ok := together(now, j, machines, env)
+	places, ok := gangPlaces(now, j, machines, env)
 	if !ok {
-		r.holdTogether(now, j, machines, env)
+		r.reserveForGang(now, j, machines, env)
 		return
 	}
 	for n := j.Waiting; j.Waiting > 0; {
-		// Room is all that together looked at: what one task of the job means
+		// Room is all that gangPlaces looked at: what one task of the job means
 		// for the next, by zone or limit, is asked again for each.
 		var m *Machine
 		for len(places) > 0 && m == nil {
@@ -38,17 +38,17 @@
 	}
 }
 
-// together lists the machines that have room for all waiting tasks of j, those
+// gangPlaces lists the machines that have room for all waiting tasks of j, those
 // first that have its image soonest, since the gang starts with its last image;
 // all of one zone where it must be.
-func together(now time.Duration, j *Job, machines []*Machine, env Env) ([]*Machine, bool) {
+func gangPlaces(now time.Duration, j *Job, machines []*Machine, env Env) ([]*Machine, bool) {
 	var best []*Machine
 	found, soonest := false, Never
 	for _, zone := range zonesFor(j, machines) {
 		var list []*Machine
 		cost := map[*Machine]time.Duration{}
 		for _, m := range machines {
-			if !m.held && (zone == "" || m.Zone == zone) && m.Free.Fits(j.Need) && env.Allowed(j, m) {
+			if !m.reserved && (zone == "" || m.Zone == zone) && m.Free.Fits(j.Need) && env.Allowed(j, m) {
 				list = append(list, m)
 				cost[m] = m.fetchTime(now, j)
 			}
@@ -100,12 +100,12 @@
 	return n
 }
 
-// holdTogether keeps the machines free that should have room for the whole gang
+// reserveForGang keeps the machines free that should have room for the whole gang
 // soonest: refilled bit by bit by the tasks of arrays, and by their own local
 // queues, they never all had room at once. Only what one gang needs, and for one
 // gang at a time.
-func (r *Round) holdTogether(now time.Duration, j *Job, machines []*Machine, env Env) {
-	if !j.Overdue || len(r.held) > 0 {
+func (r *Round) reserveForGang(now time.Duration, j *Job, machines []*Machine, env Env) {
+	if !j.Overdue || len(r.reserved) > 0 {
 		return
 	}
 	var best []*Machine
@@ -114,7 +114,7 @@
 		var list []*Machine
 		holds, wait := map[*Machine]int{}, map[*Machine]time.Duration{}
 		for _, m := range machines {
-			if m.held || zone != "" && m.Zone != zone || !env.Allowed(j, m) {
+			if m.reserved || zone != "" && m.Zone != zone || !env.Allowed(j, m) {
 				continue
 			}
 			empty := m.Capacity
@@ -129,7 +129,7 @@
 			}
 		}
 		sort.SliceStable(list, func(a, b int) bool {
-			if x, y := r.before[list[a]], r.before[list[b]]; x != y {
+			if x, y := r.reservedBefore[list[a]], r.reservedBefore[list[b]]; x != y {
 				return x
 			}
 			if wait[list[a]] != wait[list[b]] {
@@ -142,7 +142,7 @@
 			if room += holds[m]; room >= j.Waiting {
 				last := time.Duration(0)
 				for _, m := range list[:i+1] {
-					if !r.before[m] {
+					if !r.reservedBefore[m] {
 						last = max(last, wait[m])
 					}
 				}
@@ -154,8 +154,8 @@
 		}
 	}
 	for _, m := range best {
-		m.held = true
-		r.held[m] = true
+		m.reserved = true
+		r.reserved[m] = true
 	}
 }
 
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -31,12 +31,12 @@
 	Spot     bool    // the cloud may take it back
 	Stays    float64 // CPUs of services on it: it can't be given back soon
 	Ref      any     // whatever the caller needs to find its own record
-	held     bool    // kept free in this round for a task at its skip limit
+	reserved bool    // kept free in this round for a task at its skip limit
 	class    int     // of its price by the CPU, in this round
 }
 
-// Held says whether m is kept free for a task at its skip limit or for a gang.
-func (m *Machine) Held() bool { return m.held }
+// Reserved says whether m is kept free for a task at its skip limit or for a gang.
+func (m *Machine) Reserved() bool { return m.reserved }
 
 // Fetch is an image on its way to a machine.
 type Fetch struct {
--- a/internal/sched/oracle_test.go
+++ b/internal/sched/oracle_test.go
@@ -17,16 +17,16 @@
 	classify(machines)
 	round := NewRound(r.cfg)
 	for _, m := range machines {
-		m.held = false
+		m.reserved = false
 		round.serveLocal(now, m, env)
 	}
 	for _, j := range jobs {
-		j.holding = false
+		j.reserving = false
 	}
 	for i, j := range jobs {
 		// A job that finds no place takes none from those it would pass.
 		ahead := jobs[:i]
-		if !slices.ContainsFunc(machines, func(m *Machine) bool { return !m.held && m.Free.Fits(j.Need) && env.Allowed(j, m) }) {
+		if !slices.ContainsFunc(machines, func(m *Machine) bool { return !m.reserved && m.Free.Fits(j.Need) && env.Allowed(j, m) }) {
 			ahead = nil
 		}
 		for j.Waiting > 0 && env.UnderLimit(j) && r.one(round, now, ahead, j, machines, env) {
@@ -37,15 +37,15 @@
 func (r plain) one(round *Round, now time.Duration, ahead []*Job, j *Job, machines []*Machine, env Env) bool {
 	passed := earlier(ahead, j, env)
 	for _, a := range passed {
-		if a.Skips >= r.cfg.SkipLimit && !a.holding {
-			round.hold(now, a, machines, env)
+		if a.Skips >= r.cfg.SkipLimit && !a.reserving {
+			round.reserve(now, a, machines, env)
 		}
 	}
 	var hit, free, busy *Machine
 	freeCost, busyCost := Never, Never
 	for _, m := range machines {
 		switch {
-		case m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m):
+		case m.reserved || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m):
 		case m.Free.Fits(j.Need) && m.Images.Has(j.Image):
 			if hit == nil || better(m, hit, j) {
 				hit = m
@@ -70,8 +70,8 @@
 	case hit != nil:
 		path = Hit
 	case free == nil:
-		if atLimit && !j.holding {
-			round.hold(now, j, machines, env)
+		if atLimit && !j.reserving {
+			round.reserve(now, j, machines, env)
 		}
 		return false
 	case atLimit:
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -11,21 +11,21 @@
 	cfg    Config
 	resume bool
 	last   string
-	// held are the machines kept free for a gang since the last round.
-	held, before map[*Machine]bool
+	// reserved are the machines kept free for a gang since the last round.
+	reserved, reservedBefore map[*Machine]bool
 }
 
 // NewRound starts a dispatcher.
-func NewRound(cfg Config) *Round { return &Round{cfg: cfg, held: map[*Machine]bool{}} }
+func NewRound(cfg Config) *Round { return &Round{cfg: cfg, reserved: map[*Machine]bool{}} }
 
 // Run makes one round of decisions. Jobs must be in queue order (rank, then
 // arrival). It returns true if the round came to its end.
 func (r *Round) Run(now time.Duration, jobs []*Job, machines []*Machine, env Env) bool {
 	classify(machines)
 	for _, m := range machines {
-		m.held = r.resume && r.held[m]
+		m.reserved = r.resume && r.reserved[m]
 		switch {
-		case r.held[m]:
+		case r.reserved[m]:
 			for _, q := range m.Local {
 				q.Job.Waiting++ // elsewhere it may be served sooner
 			}
@@ -36,7 +36,7 @@
 	}
 	if !r.resume {
 		// The gang's turn comes, if it still waits; it stays with its machines.
-		r.before, r.held = r.held, map[*Machine]bool{}
+		r.reservedBefore, r.reserved = r.reserved, map[*Machine]bool{}
 	}
 	start := 0
 	if r.resume {
@@ -49,7 +49,7 @@
 	}
 	r.resume = false
 	for _, j := range jobs {
-		j.holding = false
+		j.reserving = false
 	}
 	// Most machines of a busy fleet have no room for anything that waits: they
 	// are looked at once a round, not once a task.
@@ -142,8 +142,8 @@
 			return true
 		}
 		for _, a := range passed {
-			if a.Skips >= r.cfg.SkipLimit && !a.holding {
-				r.hold(now, a, machines, env)
+			if a.Skips >= r.cfg.SkipLimit && !a.reserving {
+				r.reserve(now, a, machines, env)
 			}
 		}
 		best, ok := c.best(env)
@@ -171,8 +171,8 @@
 // room for it. A task that took to a holder's queue then was stuck behind one
 // estimate while machines became free elsewhere.
 func (r *Round) nowhere(now time.Duration, j *Job, machines, roomy []*Machine, env Env) {
-	if j.Skips >= r.cfg.SkipLimit && !j.holding && len(roomy) > 0 {
-		r.hold(now, j, machines, env)
+	if j.Skips >= r.cfg.SkipLimit && !j.reserving && len(roomy) > 0 {
+		r.reserve(now, j, machines, env)
 	}
 }
 
@@ -194,7 +194,7 @@
 		return "", true
 	}
 	// Only a hit may overtake on the ordinary path. The exception: the
-	// tasks ahead found no machine in this very round, so holding this
+	// tasks ahead found no machine in this very round, so reserving this
 	// one back would leave the machine idle and help nobody.
 	if passes {
 		return Passing, false
@@ -202,14 +202,14 @@
 	return Fetched, false
 }
 
-// hold keeps the machine that should have room soonest free for a task at its
+// reserve keeps the machine that should have room soonest free for a task at its
 // skip limit, which would otherwise starve behind smaller ones.
-func (r *Round) hold(now time.Duration, j *Job, machines []*Machine, env Env) {
-	j.holding = true
+func (r *Round) reserve(now time.Duration, j *Job, machines []*Machine, env Env) {
+	j.reserving = true
 	var best *Machine
 	soonest := Never
 	for _, m := range machines {
-		if m.held || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
+		if m.reserved || !m.Capacity.Fits(j.Need) || !env.Allowed(j, m) {
 			continue
 		}
 		if w := m.Wait(now, j); w < soonest {
@@ -217,7 +217,7 @@
 		}
 	}
 	if best != nil {
-		best.held = true
+		best.reserved = true
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -9,22 +9,22 @@
 // Job is a job with waiting tasks, as the dispatcher sees it. All tasks of a
 // job are alike, so they share one entry in the global queue.
 type Job struct {
-	ID       string
-	Rank     int    // 0 is the most urgent
-	Arrival  uint64 // order of acceptance
-	Need     Resources
-	Image    string
-	ImageGB  float64
-	Estimate time.Duration // run time; 0 for services
-	Endless  bool          // a service: runs until cancelled
-	Gang     bool          // goes only when all its tasks fit now
-	OneZone  bool          // a gang all of whose tasks must be in one zone
-	Overdue  bool          // a gang for which machines are kept free
-	Steady   bool          // a task that has to begin anew would come too late
-	Waiting  int           // tasks in the global queue
-	Skips    int           // times that a later task went first
-	Ref      any           // whatever the caller needs to find its own record
-	holding  bool          // a machine is kept free for it in this round
+	ID        string
+	Rank      int    // 0 is the most urgent
+	Arrival   uint64 // order of acceptance
+	Need      Resources
+	Image     string
+	ImageGB   float64
+	Estimate  time.Duration // run time; 0 for services
+	Endless   bool          // a service: runs until cancelled
+	Gang      bool          // goes only when all its tasks fit now
+	OneZone   bool          // a gang all of whose tasks must be in one zone
+	Overdue   bool          // a gang for which machines are kept free
+	Steady    bool          // a task that has to begin anew would come too late
+	Waiting   int           // tasks in the global queue
+	Skips     int           // times that a later task went first
+	Ref       any           // whatever the caller needs to find its own record
+	reserving bool          // a machine is kept free for it in this round
 }
 
 // Config holds the operator's settings of the rule.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -137,7 +137,7 @@
 			for _, q := range m.Local {
 				fmt.Fprintf(&b.out, "  %s waits at %s until %gs\n", q.Job.ID, m.ID, q.Until.Seconds())
 			}
-			if m.held {
+			if m.reserved {
 				fmt.Fprintf(&b.out, "  %s is kept free\n", m.ID)
 			}
 		}
