--- a/internal/core/bitmap.go
+++ b/internal/core/bitmap.go
@@ -12,6 +12,11 @@
 
 // Finished tasks, kept as bitmaps in the state service.
 
+// bitmapState paces the writes of bitmaps.
+type bitmapState struct {
+	bitmapsAt time.Duration
+}
+
 // bitmapValue is a part of a chunk in the state service: its bytes from From on.
 type bitmapValue struct {
 	Bits string `json:"b"`
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -12,8 +12,9 @@
 	listing  bool
 	listAt   time.Duration
 	planAt   time.Duration
-	renting  int
-	unsure   bool // a rental had no answer: machines may come that look like found ones
+	renting  int    // requests under way
+	rentals  uint64 // numbers the requests of this term
+	unsure   bool   // a rental had no answer: machines may come that look like found ones
 	returnBy bool
 	// refused keeps offers that the cloud had no capacity for: not asked
 	// again before, with pauses that grow.
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -10,6 +10,12 @@
 
 // Direct commands to workers, and the fence that outdates them.
 
+// commandState is what concerns direct commands.
+type commandState struct {
+	directs   int // under way
+	reachFrom int // of order: the next machine to look after
+}
+
 // mayProbe says whether a machine may be asked whether it is there. Direct
 // commands under way are bounded by the sockets that there are for them
 // (Config.Directs). A quarter is kept for starts and stops: when hundreds of
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -8,6 +8,21 @@
 	"mulleinfall/internal/sched"
 )
 
+// dispatchState is what a leader keeps from one round of decisions to the next.
+type dispatchState struct {
+	round     *sched.Round
+	attempts  uint64           // numbers those of this term
+	dirty     bool             // something has changed that a round may use
+	cutShort  int              // rounds that ran out of budget
+	views     []*sched.Machine // buffer of a round
+	paths     map[sched.Path]int
+	teams     map[string]sched.Resources // what each team's tasks take
+	nextRound time.Duration              // no round of decisions before
+	idleRound time.Duration              // a round for time's sake alone; not before
+	drainAt   time.Duration
+	countsAt  time.Duration
+}
+
 // waiting says whether any job wants a machine.
 func (s *State) waiting() bool {
 	for _, j := range s.active {
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -10,6 +10,12 @@
 // A gang's tasks find each other by their attempt, start when the last of them
 // has its image, and are of no use one without the others.
 
+// gangState is what a leader knows of gangs besides each one.
+type gangState struct {
+	gangsAt   time.Duration       // attempts are looked through again; not before
+	gangsSeen map[string]seenGang // the largest lately, by class
+}
+
 // gang is what a leader knows of the attempt that is on machines, or last was.
 type gang struct {
 	attempt uint64
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -5,65 +5,30 @@
 	"time"
 
 	"mulleinfall/internal/election"
-	"mulleinfall/internal/sched"
 )
 
-// lead is what concerns leadership: promises, candidacy and the leader's own
-// bookkeeping, which a new term starts afresh.
-type lead struct {
-	voter             *election.Voter
-	peers             map[string]*peerState
-	leadership        *election.Leadership // candidacy or leadership; nil for a follower
-	leaseID           uint64               // lease of the leader key
-	leaseRequestedAt  time.Duration        // sending of the request that got it
-	winningKey        bool                 // lease or key transaction under way
-	raisingVersion    bool                 // the write of the cluster version is under way
-	versionNoted      bool                 // this controller's own version is in the state service
-	ownVersion        int                  // as noted there, perhaps by an earlier life
-	noteVersionAt     time.Duration        // not before
-	campaignAt        time.Duration
-	requestVotesAt    time.Duration
-	renewAt           time.Duration
-	announceAt        time.Duration
-	renewing          bool
+// leadState is what concerns leadership: promises, candidacy and the key.
+type leadState struct {
+	voter            *election.Voter
+	peers            map[string]*peerState
+	leadership       *election.Leadership // candidacy or leadership; nil for a follower
+	leaseID          uint64               // lease of the leader key
+	leaseRequestedAt time.Duration        // sending of the request that got it
+	winningKey       bool                 // lease or key transaction under way
+	renewing         bool                 // a renewal of the key is under way
+
+	// Nothing of the kind before these times.
+	campaignAt, requestVotesAt, renewAt, announceAt, abstainUntil time.Duration
+
 	unreached         bool          // stepped down because no worker came, and none has come since
 	entitlementLostAt time.Duration // stepped down because its entitlement ran out; 0: never
-	abstainUntil      time.Duration // no candidacy before
 
-	electedAt      time.Duration
-	electedRev     uint64
-	before         uint64             // the term before this one, whose version the key was won under
-	transfer       leadershipTransfer // by a leader whose term has ended
-	firstTerm      bool               // nobody has led, and so rented, before this term
-	ready          bool               // the replica has caught up with the election
-	settled        bool               // every task of older jobs is accounted for
-	scanNext       int                // of order: the machines before are accounted for
-	scanned        int                // machines looked at in search of others
-	attempts       uint64
-	rentals        uint64
-	dirty          bool
-	nextRound      time.Duration // no round of decisions before
-	idleRound      time.Duration
-	drainAt        time.Duration
-	bitmapsAt      time.Duration
-	cutShort       int              // rounds that ran out of budget
-	unaccountedFor []*machine       // not accounted for, as of this round
-	views          []*sched.Machine // buffer of a round
-	pendingReports []pendingReport  // reports to be answered after the next round
-	pages          map[int]*page    // of the roster
-	rosterAt       time.Duration
-	silenceAt      time.Duration
-	directs        int                        // direct commands under way
-	reachFrom      int                        // of order: the next machine to look after by a direct command
-	teams          map[string]sched.Resources // what each team's tasks take
-	countsAt       time.Duration
-	slowAt         time.Duration
-	gangsAt        time.Duration
-	gangsSeen      map[string]seenGang // by class
-	lastReportAt   time.Duration       // last report answered with 200
-	round          *sched.Round
-	paths          map[sched.Path]int
-	fleetState
+	electedAt  time.Duration
+	electedRev uint64
+	before     uint64             // the term before this one, whose version the key was won under
+	transfer   leadershipTransfer // by a leader whose term has ended
+	firstTerm  bool               // nobody has led, and so rented, before this term
+	ready      bool               // the replica has caught up with the election
 }
 
 // Leading says whether this node may act as leader now.
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -10,6 +10,15 @@
 
 // Machines that are lost, missing or given up, and when a takeover is settled.
 
+// takeoverState is how far a new leader has come in accounting for the machines
+// of the roster.
+type takeoverState struct {
+	settled        bool       // every task of older jobs is accounted for
+	scanNext       int        // of order: the machines before are accounted for
+	scanned        int        // machines looked at in search of others
+	unaccountedFor []*machine // as of this round
+}
+
 // leaseEnd is when m's lease has surely run out, if nobody answers it again.
 func (s *State) leaseEnd(m *machine) time.Duration {
 	l := s.cfg.Lease
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -8,6 +8,12 @@
 
 // Answers to workers' reports.
 
+// reportState is what a leader keeps of the reports that it has taken.
+type reportState struct {
+	pendingReports []pendingReport // to be answered after the next round
+	lastReportAt   time.Duration   // of a report that was news
+}
+
 // pendingReport is a report whose answer waits for the next round of decisions, or
 // until its machine's mark is off the roster.
 type pendingReport struct {
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// rosterState is the leader's view of the roster.
+type rosterState struct {
+	pages    map[int]*page
+	rosterAt time.Duration // pages are written again; not before
+	// silenceAt is when machines are next looked at for their silence.
+	silenceAt time.Duration
+}
+
 // rosterValue is a machine in the state service: written before the machine
 // is given its first task, so that a successor knows whom to ask.
 type rosterValue struct {
--- a/internal/core/slow.go
+++ b/internal/core/slow.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// slowState paces the search for slow machines.
+type slowState struct {
+	slowAt time.Duration
+}
+
 // findSlow looks for slow machines among those whose tasks overrun, and moves
 // away what would end sooner if it began anew elsewhere.
 func (s *State) findSlow() {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -36,8 +36,20 @@
 	replica
 	writer
 	users
-	lead
 	cancels
+	leadState
+	versionState
+
+	// The leader's own bookkeeping, which a new term starts afresh.
+	takeoverState
+	dispatchState
+	reportState
+	commandState
+	rosterState
+	bitmapState
+	gangState
+	slowState
+	fleetState
 
 	types    map[string]*model.MachineType
 	typeList []model.MachineType
@@ -79,17 +91,17 @@
 	}
 	s.shareWrites(false)
 	s.replica.init()
-	s.lead.voter = election.NewVoter(ecf, now)
-	s.lead.peers = map[string]*peerState{}
+	s.voter = election.NewVoter(ecf, now)
+	s.peers = map[string]*peerState{}
 	for _, p := range cfg.Peers {
-		s.lead.peers[p] = &peerState{}
+		s.peers[p] = &peerState{}
 	}
-	s.lead.round = sched.NewRound(sched.Config{SkipLimit: cfg.SkipLimit})
+	s.round = sched.NewRound(sched.Config{SkipLimit: cfg.SkipLimit})
 	s.users.init(cfg.Boot)
 	s.cancels.unshared = map[string]uint64{}
 	s.pageHosts = map[int]int{}
 	// Controllers that start together must not all run at the same instant.
-	s.lead.campaignAt = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
+	s.campaignAt = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
 	return s
 }
 
--- a/internal/core/version.go
+++ b/internal/core/version.go
@@ -27,6 +27,14 @@
 	Version int `json:"forms"`
 }
 
+// versionState is what concerns the version in use.
+type versionState struct {
+	raisingVersion bool          // the write of the cluster version is under way
+	versionNoted   bool          // this controller's own version is in the state service
+	ownVersion     int           // as noted there, perhaps by an earlier life
+	noteVersionAt  time.Duration // not before
+}
+
 // clusterVersionChanged takes the key of the version in use. It never falls.
 func (s *State) clusterVersionChanged(it Item) {
 	var v clusterVersionValue
