--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -269,7 +269,7 @@
 // Supported says whether a majority of promises stands at now.
 func (t *Leadership) Supported(now time.Duration) bool { return now < t.majority }
 
-// Until is the time up to which this tenure may act as far as is known.
+// Until is the time up to which this leadership may act as far as is known.
 func (t *Leadership) Until() time.Duration {
 	if !t.elected || t.ended {
 		return 0
@@ -281,7 +281,7 @@
 	return until
 }
 
-// lapsed ends an elected tenure whose entitlement has run out.
+// lapsed ends an elected leadership whose entitlement has run out.
 func (t *Leadership) lapsed(now time.Duration) bool {
 	if t.elected && now >= t.Until() {
 		t.ended = true
@@ -289,11 +289,11 @@
 	return t.ended
 }
 
-// Entitled says whether this tenure may act at now. Once it may not, it never
+// Entitled says whether this leadership may act at now. Once it may not, it never
 // may again.
 func (t *Leadership) Entitled(now time.Duration) bool {
 	return t.elected && !t.lapsed(now)
 }
 
-// End gives the tenure up.
+// End gives the leadership up.
 func (t *Leadership) End() { t.ended = true }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -104,7 +104,7 @@
 	n.Promised(ms(23500), "a", ms(23450))
 	n.Promised(ms(23500), "b", ms(23450))
 	if n.Entitled(ms(23501)) {
-		t.Error("a lapsed tenure came back")
+		t.Error("a lapsed leadership came back")
 	}
 }
 
@@ -155,7 +155,7 @@
 		}
 	}
 	// A leader elected at 0 that is supported for ever; its last read was then.
-	tenures := []struct {
+	leaderships := []struct {
 		why  string
 		do   func(t *Leadership)
 		want int // acts until, in whole seconds
@@ -176,7 +176,7 @@
 		}, 38},
 		{"a late message changes nothing", func(t *Leadership) { t.Read(ms(4000)); t.Read(ms(1000)) }, 13},
 	}
-	for _, x := range tenures {
+	for _, x := range leaderships {
 		ten := NewLeadership(c, 0, 4, 3)
 		ten.Promised(0, "a", 0)
 		ten.Promised(0, "b", 0)
--- a/internal/sim/reporting.go
+++ b/internal/sim/reporting.go
@@ -24,15 +24,15 @@
 	return rep
 }
 
-// beat sends a report.
-func (wk *Worker) beat() {
+// sendReport sends a report.
+func (wk *Worker) sendReport() {
 	w := wk.w
 	wk.changed = false
 	wk.reports++
 	number := wk.reports
-	wk.inFlight, wk.lastBeat = number, w.Now
+	wk.inFlight, wk.lastReportAt = number, w.Now
 	every := w.Opt.Config.ReportEvery
-	wk.nextBeat = w.Now + every*3/4 + time.Duration(w.Rnd.Int64N(int64(every/2)))
+	wk.nextReportAt = w.Now + every*3/4 + time.Duration(w.Rnd.Int64N(int64(every/2)))
 	sent, session := w.Now, wk.session
 	rep := wk.report()
 	node := w.Nodes[wk.target]
@@ -83,7 +83,7 @@
 func (wk *Worker) turnTo(wait time.Duration, target int) {
 	wk.inFlight = 0
 	wk.target = target
-	wk.nextBeat = wk.w.Now + wait
+	wk.nextReportAt = wk.w.Now + wait
 }
 
 // answered takes a controller's answer to a report.
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -30,9 +30,9 @@
 	target              int
 	inFlight            int // number of the report under way; 0: none
 	reports             int
-	nextBeat            time.Duration
+	nextReportAt        time.Duration
 	changed             bool
-	lastBeat            time.Duration
+	lastReportAt        time.Duration
 	late                []func() // commands that came while it hung
 }
 
@@ -50,7 +50,7 @@
 	wk.target = w.Rnd.IntN(len(w.Nodes))
 	w.Workers[info.Endpoint] = wk
 	w.tell("machine %s is up in %s", info.Host, info.Zone)
-	wk.nextBeat = w.Now
+	wk.nextReportAt = w.Now
 	wk.loop()
 }
 
@@ -91,9 +91,9 @@
 	wk.expire()
 	if !wk.Hung {
 		wk.advance()
-		due := wk.w.Now >= wk.nextBeat || wk.changed && wk.w.Now >= wk.lastBeat+500*time.Millisecond
+		due := wk.w.Now >= wk.nextReportAt || wk.changed && wk.w.Now >= wk.lastReportAt+500*time.Millisecond
 		if due && wk.inFlight == 0 {
-			wk.beat()
+			wk.sendReport()
 		}
 	}
 	pace := wk.w.Opt.Pace
