Take the test of starving by gangs back: no guard that it names makes it fail

With the exception for jobs that have not begun, or the guard for their first task, taken out it passed as well: tasks slip in between gangs by themselves. TestNobodyStarves and TestGangGuards fail without them, each for one.

--- a/internal/sim/sharing_test.go
+++ b/internal/sim/sharing_test.go
@@ -306,30 +306,3 @@
 		})
 	}
 }
-
-// TestGangsStarveNobody: more gangs than the machines can do, all the time, each
-// of which may stop the less urgent work. The least urgent job begins all the same,
-// is not stopped at once again, and gets on.
-func TestGangsStarveNobody(t *testing.T) {
-	opt := Defaults(6)
-	opt.Capacity = 1 // three machines of 4 CPUs, and three spot ones that nobody may use
-	w := New(opt)
-	n := 1
-	for at := second; at < 400*second; at += 3 * second {
-		n++
-		g := gangOf(fmt.Sprintf("req-%06d", n), 2)
-		g.Priority = model.High
-		w.At(at, func() { w.Users.Submit(g, 10*second) }) // 13 CPUs' worth
-	}
-	low := batch("req-000001", 3)
-	low.Class, low.Priority, low.CPUs, low.Image = "low", model.Low, 2, "low"
-	w.At(30*second, func() { w.Users.Submit(low, 15*second) })
-	w.Run(390 * second)
-	w.Check.Served()
-	if x := w.Check.jobs[low.ID]; len(x.done) == 0 {
-		t.Errorf("none of %d tasks done after 360 s, the first began at %v", low.Tasks, x.began)
-	}
-	for _, b := range w.Check.Broken {
-		t.Error(b)
-	}
-}
