--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,12 +7,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"math"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -230,103 +226,3 @@
 	// An error means that the client has gone: nobody is left to tell.
 	_, _ = w.Write(body)
 }
-
-// validID says whether id has the form of job ids: "req-" and digits.
-func validID(id string) bool {
-	digits, ok := strings.CutPrefix(id, "req-")
-	if !ok || len(digits) < 6 || len(digits) > 20 {
-		return false
-	}
-	for _, c := range digits {
-		if c < '0' || c > '9' {
-			return false
-		}
-	}
-	return true
-}
-
-// required lists the fields of a submission that may not be left out.
-var required = []string{"id", "lane", "owner", "shape", "rank", "pieces", "cpus", "cards", "memoryGb",
-	"build", "pullGb", "samePlace", "scatter", "loaners", "guessS", "snapshotEveryS", "snapshotCostS"}
-
-// ParseJob reads a submission and checks its form.
-func ParseJob(body []byte) (*model.Job, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
-		return nil, errors.New("not a JSON object")
-	}
-	for _, f := range required {
-		v, ok := fields[f]
-		if !ok || bytes.Equal(v, []byte("null")) {
-			return nil, fmt.Errorf("%s: missing", f)
-		}
-	}
-	var j model.Job
-	if err := json.Unmarshal(body, &j); err != nil {
-		var te *json.UnmarshalTypeError
-		if errors.As(err, &te) {
-			return nil, fmt.Errorf("%s: not valid", te.Field)
-		}
-		return nil, errors.New("not valid")
-	}
-	if v, ok := fields["flavors"]; ok && !bytes.Equal(v, []byte("null")) && len(j.Types) == 0 {
-		return nil, errors.New("flavors: empty")
-	}
-	for _, check := range []func(*model.Job) error{checkWords, checkAmounts} {
-		if err := check(&j); err != nil {
-			return nil, err
-		}
-	}
-	return &j, nil
-}
-
-// maxWord bounds the names that users choose, in bytes.
-const maxWord = 200
-
-func validWord(s string) bool { return s != "" && len(s) <= maxWord }
-
-// checkWords checks the fields of a submission that hold words.
-func checkWords(j *model.Job) error {
-	for _, f := range []struct {
-		field string
-		valid bool
-	}{
-		{"id", validID(j.ID)}, {"lane", validWord(j.Class)}, {"owner", validWord(j.Team)}, {"build", validWord(j.Image)},
-		{"shape", slices.Contains([]string{model.Batch, model.Service, model.Gang}, j.Kind)},
-		{"rank", slices.Contains([]string{model.Prod, model.High, model.Normal, model.Low}, j.Priority)},
-		{"flavors", !slices.Contains(j.Types, "")},
-	} {
-		if !f.valid {
-			return fmt.Errorf("%s: not valid", f.field)
-		}
-	}
-	return nil
-}
-
-// Bounds of the numbers in a submission.
-const (
-	maxTasks  = 100_000
-	maxAmount = 1e9
-)
-
-// checkAmounts checks the fields of a submission that hold numbers.
-func checkAmounts(j *model.Job) error {
-	if j.Tasks < 1 || j.Tasks > maxTasks {
-		return fmt.Errorf("pieces: not within 1 and %d", maxTasks)
-	}
-	for _, a := range []struct {
-		field string
-		value float64
-	}{
-		{"cpus", j.CPUs}, {"cards", j.GPUs}, {"memoryGb", j.MemoryGB}, {"pullGb", j.ImageGB},
-		{"guessS", j.Estimate}, {"snapshotEveryS", j.Checkpoint}, {"snapshotCostS", j.SaveCost},
-	} {
-		if !(a.value >= 0) || a.value > maxAmount {
-			return fmt.Errorf("%s: not valid", a.field)
-		}
-	}
-	if j.Due != nil && (!(*j.Due >= 0) || math.IsInf(*j.Due, 0)) {
-		return errors.New("dueS: not valid")
-	}
-	return nil
-}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -3,8 +3,6 @@
 import (
 	"log/slog"
 	"time"
-
-	"mulleinfall/internal/model"
 )
 
 // Giving machines back, and the zones that are left alone meanwhile.
@@ -111,47 +109,6 @@
 // empty says whether no task is on m, nor may be.
 func (m *machine) empty() bool { return len(m.tasks) == 0 && len(m.orphans) == 0 }
 
-// spareRoom is the room that is to be kept free for services and gangs, and how
-// many idle machines may go at a time.
-type spareRoom struct {
-	s        *State
-	idle     int
-	service  *job
-	room     int // for tasks of the service
-	gang     *job
-	gangZone string
-	gangRoom int // for tasks of the gang, in its zone
-}
-
-// idlePart is the part of all machines that may go at a time, for being idle.
-const idlePart = 16
-
-func (s *State) newSpareRoom() *spareRoom {
-	r := &spareRoom{s: s, idle: 1 + len(s.order)/idlePart, service: s.serviceNeed()}
-	for _, m := range s.order {
-		r.room += s.serviceRoomOn(m, r.service)
-	}
-	r.gang, r.gangZone, r.gangRoom = s.gangRoom()
-	return r
-}
-
-// canSpare says whether m may go, and if so counts it as gone.
-func (r *spareRoom) canSpare(m *machine) bool {
-	own, ofGang := r.s.serviceRoomOn(m, r.service), 0
-	if r.gang != nil && m.zone == r.gangZone {
-		ofGang = r.s.gangRoomOn(m, r.gang)
-	}
-	enough := (own == 0 || r.room-own >= r.s.cfg.SpareServices) &&
-		(ofGang == 0 || r.gangRoom-ofGang >= r.gang.Tasks*r.s.cfg.SpareGangs)
-	if r.idle <= 0 || !enough {
-		return false
-	}
-	r.idle--
-	r.room -= own
-	r.gangRoom -= ofGang
-	return true
-}
-
 // returnHosts asks the cloud to take machines back.
 func (s *State) returnHosts(hosts []string) {
 	leadership := s.leadership
@@ -247,77 +204,3 @@
 	}
 	return true
 }
-
-// serviceNeed is a job with the most demanding service tasks of now, or nil.
-func (s *State) serviceNeed() *job {
-	var best *job
-	for _, j := range s.active {
-		if j.Kind == model.Service && j.rank == 0 && (best == nil || j.CPUs > best.CPUs || j.CPUs == best.CPUs && j.arrival < best.arrival) {
-			best = j
-		}
-	}
-	return best
-}
-
-// serviceRoomOn is for how many of the service tasks of j m has room, up to
-// what is to be kept free.
-func (s *State) serviceRoomOn(m *machine, j *job) int {
-	if j == nil || m.spot || !s.usable(m) {
-		return 0
-	}
-	need := j.need()
-	n := 0
-	for free := m.view.Free; n < s.cfg.SpareServices && free.Fits(need); free = free.Sub(need) {
-		n++
-	}
-	return n
-}
-
-// zoneState is what this leader hears of a zone's machines.
-type zoneState struct {
-	machines, heard int
-	silent          bool
-}
-
-// zoneView finds the zones that are out of reach as a whole: most of their
-// machines, and at least a few, don't report. Nothing is rented there nor
-// counted on, and nothing returned, since what looks lost is only cut off;
-// but not for ever.
-func (s *State) zoneView() map[string]zoneState {
-	zones := map[string]zoneState{}
-	for _, m := range s.order {
-		if !m.rostered || m.returning {
-			continue
-		}
-		z := zones[m.zone]
-		z.machines++
-		if m.up && s.now-m.heard < s.silence() {
-			z.heard++
-		}
-		zones[m.zone] = z
-	}
-	for _, name := range ordered(zones) {
-		z := zones[name]
-		if z.machines < 3 || z.heard*2 >= z.machines {
-			if _, ok := s.silentAt[name]; ok {
-				delete(s.silentAt, name)
-				s.zoneBack[name] = s.now // its machines come back one by one
-			}
-			continue
-		}
-		if s.silentAt == nil {
-			s.silentAt, s.zoneBack = map[string]time.Duration{}, map[string]time.Duration{}
-		}
-		if _, ok := s.silentAt[name]; !ok {
-			s.silentAt[name] = s.now
-			s.log(slog.LevelInfo, "zone out of reach", "zone", name, "machines", z.machines, "heard", z.heard, "term", s.leadership.Term)
-		}
-		z.silent = s.now-s.silentAt[name] < silentLeases*s.cfg.Lease
-		zones[name] = z
-	}
-	return zones
-}
-
-// silentLeases is for how many leases a zone may be out of reach before its
-// machines are given up.
-const silentLeases = 16
--- /dev/null
+++ b/internal/core/wants.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"mulleinfall/internal/fleet"
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// What is planned with: what waits, what is there or on its way, what may be had.
+
+// soonestBoot is the boot time of the type that is up first.
+func (s *State) soonestBoot() time.Duration {
+	boot := 0.0
+	for i := range s.typeList {
+		if b := s.typeList[i].BootS; boot == 0 || b < boot {
+			boot = b
+		}
+	}
+	return time.Duration(boot * float64(time.Second))
+}
+
+// wants lists what waits, most urgent first, and the room to keep free.
+func (s *State) wants() []fleet.Want {
+	var wants []fleet.Want
+	for _, j := range s.queueForFleet() {
+		if s.now < j.gang.rentAt {
+			continue
+		}
+		w := s.want(j, j.waiting())
+		w.Patient = !s.pressing(j)
+		wants = append(wants, w)
+	}
+	if j := s.serviceNeed(); j != nil && s.cfg.SpareServices > 0 {
+		spare := &job{Job: j.Job}
+		spare.Spread, spare.Zone = false, ""
+		wants = append(wants, s.want(spare, s.cfg.SpareServices))
+	}
+	if g := s.spareGang(); g != nil {
+		w := s.want(g, g.Tasks*s.cfg.SpareGangs)
+		w.Together = false // nothing waits for it yet
+		wants = append(wants, w)
+	}
+	return wants
+}
+
+// coming lists the room that there is or will be before a machine rented now
+// could be up.
+func (s *State) coming() []fleet.Coming {
+	var list []fleet.Coming
+	horizon := s.now + s.soonestBoot()
+	for _, m := range s.order {
+		if s.zones[m.zone].silent || m.typ == nil || m.returning || m.dead || m.lapsed || m.slow || m.recallAt != 0 {
+			continue
+		}
+		c := fleet.Coming{Type: m.typeName, Zone: m.zone, Spot: m.spot, Free: m.view.Capacity}
+		if m.up {
+			if m.reach.lost || s.now-m.heard >= s.silence() {
+				continue // perhaps gone: not to be counted on
+			}
+			if c.Free = s.freeBy(m, horizon); c.Free.CPUs <= 0 || c.Free.MemoryGB <= 0 {
+				continue // full for longer: nothing to plan with
+			}
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// freeBy is the room of m at a time, if nothing more comes to it: room that
+// running work should free is as good as a rented machine.
+func (s *State) freeBy(m *machine, at time.Duration) sched.Resources {
+	s.refreshView(m)
+	free := m.view.Free
+	for _, r := range m.view.Running {
+		if r.End >= at {
+			break
+		}
+		free = free.Add(r.Need)
+	}
+	return free
+}
+
+// age is how long ago j was submitted.
+func (s *State) age(j *job) time.Duration {
+	if j.at == 0 || s.wall < j.at {
+		return 0
+	}
+	return time.Duration(s.wall-j.at) * time.Millisecond
+}
+
+// pressing says whether j can't wait any longer for room on the machines
+// there are, or for cheap ones: part of the time that its class leaves beyond
+// boot, fetch and run has passed.
+func (s *State) pressing(j *job) bool {
+	if j.Kind != model.Batch {
+		return true
+	}
+	boot, rate := 0.0, 0.0
+	for i := range s.typeList {
+		t := &s.typeList[i]
+		if t.Fits(&j.Job) && (boot == 0 || t.BootS < boot) {
+			boot, rate = t.BootS, t.FetchRate
+		}
+	}
+	// Estimates and boot times are often exceeded by half.
+	ready := 1.5*boot + j.ImageGB/max(rate, 0.001)
+	spare := s.within(j) - time.Duration((ready+1.25*j.Estimate)*float64(time.Second))
+	if start := s.cfg.Goals[j.Class].Start; start > 0 {
+		spare = min(spare, start-time.Duration(ready*float64(time.Second)))
+	}
+	return s.age(j) >= time.Duration(s.cfg.Patience*float64(spare))
+}
+
+// within is the time in which j should be done.
+func (s *State) within(j *job) time.Duration {
+	g := s.cfg.Goals[j.Class]
+	switch {
+	case g.Finish > 0:
+		return g.Finish
+	case g.Due > 0 && j.Due != nil:
+		return time.Duration(g.Due * *j.Due * float64(time.Second))
+	case j.Due != nil:
+		return time.Duration(*j.Due * float64(time.Second))
+	}
+	return s.cfg.CancelIn
+}
+
+func (s *State) want(j *job, n int) fleet.Want {
+	w := fleet.Want{Job: &j.Job, Count: n, Need: j.need()}
+	w.OneZone, w.Together = j.OneZone, j.Kind == model.Gang
+	if w.OneZone && len(j.tasks) > 0 {
+		bound := j.Job
+		for zone, n := range j.zones {
+			if n > 0 {
+				bound.Zone = zone
+			}
+		}
+		w.Job = &bound
+	}
+	if j.Spread {
+		w.PerZone = func(zone string) int {
+			return j.ZoneCap() - j.zones[zone]
+		}
+	}
+	return w
+}
+
+func (s *State) queueForFleet() []*job {
+	var queue []*job
+	for _, j := range s.active {
+		if j.waiting() > 0 {
+			queue = append(queue, j)
+		}
+	}
+	sort.Slice(queue, func(a, b int) bool {
+		if queue[a].rank != queue[b].rank {
+			return queue[a].rank < queue[b].rank
+		}
+		return queue[a].arrival < queue[b].arrival
+	})
+	return queue
+}
+
+// offers lists what can be asked for now.
+func (s *State) offers(have map[string]int) []fleet.Offer {
+	var out []fleet.Offer
+	for i := range s.typeList {
+		t := s.types[s.typeList[i].Name]
+		for _, zone := range t.ZonesAvail {
+			if s.zones[zone].silent {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				if r := s.refused[offerKey{t.Name, zone, spot}]; r != nil && s.now < r.until {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				out = append(out, fleet.Offer{Type: t, Zone: zone, Spot: spot, Price: price, Have: have[zone]})
+			}
+		}
+	}
+	return out
+}
