--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -459,7 +459,7 @@
 	}
 	a := shows("n-1", 0, 7, model.TaskGathering, "")
 	b := shows("n-2", 1, 7, model.TaskGathering, "")
-	if j.gang.broken || !s.gangReady(j) || !s.allowed(j, a) || !s.allowed(j, b) {
+	if j.gang.aborting || !s.gangReady(j) || !s.allowed(j, a) || !s.allowed(j, b) {
 		t.Fatalf("two tasks of one attempt wait: %+v", j.gang)
 	}
 	shows("n-1", 0, 7, model.TaskExited, model.CauseNoRoom)
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -25,7 +25,7 @@
 		}
 		if m := s.soonestRoom(j, env); m != nil {
 			left--
-			m.keptFor, m.draining, m.keptUntil = j, true, s.now+s.cfg.ReportEvery
+			m.reservedFor, m.draining, m.reservedUntil = j, true, s.now+s.cfg.ReportEvery
 		}
 	}
 }
@@ -36,15 +36,15 @@
 	begun := map[*job]bool{}
 	for _, v := range env.views {
 		m := v.Ref.(*machine)
-		if !m.draining || m.keptFor == nil {
+		if !m.draining || m.reservedFor == nil {
 			continue
 		}
-		switch j := m.keptFor; {
+		switch j := m.reservedFor; {
 		case j.entry == nil || j.entry.Waiting == 0:
-			m.keptFor = nil // placed elsewhere, or over
-		case s.now < m.keptUntil && !begun[j] && v.Capacity.Fits(j.entry.Need):
+			m.reservedFor = nil // placed elsewhere, or over
+		case s.now < m.reservedUntil && !begun[j] && v.Capacity.Fits(j.entry.Need):
 			begun[j] = true // stay with it
-			m.keptUntil = s.now + s.cfg.ReportEvery
+			m.reservedUntil = s.now + s.cfg.ReportEvery
 		}
 	}
 	return begun
--- a/internal/core/eviction.go
+++ b/internal/core/eviction.go
@@ -182,7 +182,7 @@
 		s.log(slog.LevelInfo, "preempting", "task", t.name, "attempt", t.attempt, "host", c.m.host, "for", e.job.ID, "term", s.leadership.Term)
 		s.kill(t, 0)
 	}
-	c.m.keptFor, c.m.draining, c.m.keptUntil = e.job, false, s.now+s.cfg.Lease/2
+	c.m.reservedFor, c.m.draining, c.m.reservedUntil = e.job, false, s.now+s.cfg.Lease/2
 	env.markTouched(c.m)
 }
 
@@ -211,10 +211,10 @@
 	var options []candidate
 	for _, v := range env.views {
 		m := v.Ref.(*machine)
-		if s.reservedFor(m, j) {
+		if s.holdsRoomFor(m, j) {
 			zones[m.zone]++
 		}
-		if m.keptFor != nil && s.now < m.keptUntil || !v.Capacity.Fits(j.entry.Need) || !suits(m) || !s.allowed(j, m) {
+		if m.reservedFor != nil && s.now < m.reservedUntil || !v.Capacity.Fits(j.entry.Need) || !suits(m) || !s.allowed(j, m) {
 			continue
 		}
 		if c, ok := e.cheapestOn(m); ok {
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -18,10 +18,10 @@
 
 // gang is what a leader knows of the attempt that is on machines, or last was.
 type gang struct {
-	attempt uint64
-	began   bool          // its tasks run, or ran: no other may take a lost one's place
-	since   time.Duration // when one of them was first seen to wait for the others; 0: none
-	broken  bool          // it is being ended; the next attempt begins when all of it are gone
+	attempt        uint64
+	began          bool          // its tasks run, or ran: no other may take a lost one's place
+	gatheringSince time.Duration // when one of them was first seen to wait for the others; 0: none
+	aborting       bool          // it is being ended; the next attempt begins when all of it are gone
 	// excluded are the machines on which a task of this attempt has ended: they
 	// would take another start of it for a repeat.
 	excluded map[string]bool
@@ -43,22 +43,22 @@
 	if len(j.tasks) == 0 {
 		return true
 	}
-	return !j.gang.broken && !j.gang.began && s.gangHasTime(j)
+	return !j.gang.aborting && !j.gang.began && s.gangHasTime(j)
 }
 
 // gangHasTime says whether a gang that waits can still be completed: a task
 // that takes a lost one's place must have its image before the first of the
 // others gives up.
 func (s *State) gangHasTime(j *job) bool {
-	return j.gang.since == 0 || s.now+s.longestFetch(j)+2*s.cfg.ReportEvery < j.gang.since+s.cfg.GangWait
+	return j.gang.gatheringSince == 0 || s.now+s.longestFetch(j)+2*s.cfg.ReportEvery < j.gang.gatheringSince+s.cfg.GangWait
 }
 
 // abortGang ends an attempt: all its tasks are stopped by one decision.
 func (s *State) abortGang(j *job, grace float64) {
-	if !j.gang.broken {
+	if !j.gang.aborting {
 		s.log(slog.LevelDebug, "gang stopped", "job", j.ID, "attempt", j.gang.attempt, "grace_s", grace, "term", s.leadership.Term)
 	}
-	j.gang.broken = true
+	j.gang.aborting = true
 	for _, t := range j.tasks {
 		s.stop(t, grace)
 	}
@@ -68,7 +68,7 @@
 func (s *State) gangLost(t *task, why string) {
 	g := &t.job.gang
 	switch {
-	case g.broken:
+	case g.aborting:
 	case g.began, why == model.CausePeers, why == model.CauseAlone:
 		// Nothing that the others still do counts: at once they make room.
 		s.abortGang(t.job, 0)
@@ -84,8 +84,8 @@
 func (s *State) observeGang(j *job, p model.TaskReport) {
 	switch p.State {
 	case model.TaskGathering:
-		if j.gang.since == 0 {
-			j.gang.since = s.now
+		if j.gang.gatheringSince == 0 {
+			j.gang.gatheringSince = s.now
 		}
 	case model.TaskRunning, model.TaskSaving:
 		j.gang.began = true
@@ -101,7 +101,7 @@
 	} else if t.attempt != j.gang.attempt {
 		s.abortGang(j, 0)
 	}
-	if j.gang.broken {
+	if j.gang.aborting {
 		s.stop(t, 0)
 	}
 }
@@ -117,7 +117,7 @@
 	s.gangsAt = s.now + max(s.cfg.ReportEvery/6, time.Second/4)
 	for _, id := range ordered(s.active) {
 		j := s.active[id]
-		if j.Kind != model.Gang || j.gang.broken || len(j.tasks) == 0 || j.waiting() == 0 || !s.schedulable(j) {
+		if j.Kind != model.Gang || j.gang.aborting || len(j.tasks) == 0 || j.waiting() == 0 || !s.schedulable(j) {
 			continue
 		}
 		if j.gang.began || !s.gangHasTime(j) {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -203,8 +203,8 @@
 			s, j, _ := gathering(t)
 			j.gang.began = began
 			s.reconcileGangs()
-			if j.gang.broken != began || j.tasks[0].killing != began {
-				t.Errorf("began: %v, ended: %v", began, j.gang.broken)
+			if j.gang.aborting != began || j.tasks[0].killing != began {
+				t.Errorf("began: %v, ended: %v", began, j.gang.aborting)
 			}
 		}
 	})
@@ -264,7 +264,7 @@
 		}
 		g.entry.Waiting = 2
 		for _, m := range s.order { // as if others had come in between
-			if m.keptFor == nil {
+			if m.reservedFor == nil {
 				continue
 			}
 			for _, x := range m.tasks {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -64,13 +64,13 @@
 
 	askedAt time.Duration // when its word was last asked for
 	// askedInVain: a direct command had no answer in this term.
-	askedInVain bool
-	direct      bool          // a direct command is under way
-	directAt    time.Duration // no direct command before
-	doubt       uint64        // epoch of a direct command without an answer
-	keptFor     *job          // room made by preemption is kept for this job
-	keptUntil   time.Duration
-	draining    bool // kept for a job that waits for its tasks to end, not for preempted ones
+	askedInVain   bool
+	direct        bool          // a direct command is under way
+	directAt      time.Duration // no direct command before
+	doubt         uint64        // epoch of a direct command without an answer
+	reservedFor   *job          // room made by preemption is kept for this job
+	reservedUntil time.Duration
+	draining      bool // kept for a job that waits for its tasks to end, not for preempted ones
 }
 
 func (s *State) machine(host string) *machine {
@@ -131,7 +131,7 @@
 	m.orphans = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
 	m.told, m.toldSeq, m.toldAt, m.least, m.askedAt, m.askedInVain = 0, 0, 0, 0, 0, false
-	m.keptFor, m.slow, m.slowSigns = nil, false, 0
+	m.reservedFor, m.slow, m.slowSigns = nil, false, 0
 	m.proof, m.reach = nil, reachability{}
 	m.page = m.pageStored // the page that it was meant for may never have been written
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -49,16 +49,16 @@
 func (s *State) roomReserved(j *job) int {
 	n := 0
 	for _, m := range s.order {
-		if s.reservedFor(m, j) {
+		if s.holdsRoomFor(m, j) {
 			n++
 		}
 	}
 	return n
 }
 
-// reservedFor says whether room that preemption makes on m is kept for j.
-func (s *State) reservedFor(m *machine, j *job) bool {
-	return m.keptFor == j && !m.draining && s.now < m.keptUntil
+// holdsRoomFor says whether room that preemption makes on m is kept for j.
+func (s *State) holdsRoomFor(m *machine, j *job) bool {
+	return m.reservedFor == j && !m.draining && s.now < m.reservedUntil
 }
 
 // stopForHits makes room for prod work on machines that hold its image, where
@@ -84,7 +84,7 @@
 			case !holds(m) || !s.allowed(j, m):
 			case v.Free.Fits(j.entry.Need):
 				hits++
-			case s.reservedFor(m, j):
+			case s.holdsRoomFor(m, j):
 				pending++
 			}
 		}
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -105,7 +105,7 @@
 // allowed checks type, zone, kind and the job's other tasks, counting every
 // task that may still be somewhere.
 func (s *State) allowed(j *job, m *machine) bool {
-	if m.keptFor != nil && m.keptFor != j && s.now < m.keptUntil && (!m.draining || j.rank != model.Rank(model.Prod)) {
+	if m.reservedFor != nil && m.reservedFor != j && s.now < m.reservedUntil && (!m.draining || j.rank != model.Rank(model.Prod)) {
 		return false
 	}
 	if !j.AllowsType(m.typeName) || j.Zone != "" && j.Zone != m.zone || m.spot && !j.Spot {
@@ -191,8 +191,8 @@
 		}
 	}
 	m.idleSince = s.now
-	if m.keptFor == j {
-		m.keptFor = nil
+	if m.reservedFor == j {
+		m.reservedFor = nil
 	}
 	s.paths[path]++
 	e.markTouched(m)
