Read the state service before any submission is refused for good

Found by reading for the upgrade: a submission that is too long for the limits to come, or a gang where gangs aren't set up, was answered 400 from the copy at hand.

--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -4,68 +4,72 @@
 
 // Submissions: what is accepted, refused for now, and refused for good.
 
+// submit takes a submission. What is refused for good is refused only once it is
+// sure that no such job was accepted: neither lowered limits nor a replica that
+// lags behind must have an accepted job answered with 400 or 422.
 func (s *State) submit(o origin, spec model.Job, wall int64) {
 	if len(s.types) == 0 {
 		s.later(o, "machine types are not known yet")
 		return
 	}
-	if j := s.jobs[spec.ID]; j != nil {
+	if s.jobs[spec.ID] != nil {
 		s.poll(o, spec.ID) // the same id again: the job's state
 		return
 	}
-	if spec.Kind == model.Gang && s.cfg.GangWait == 0 {
-		s.answer(o, 400, Problem{"shape: gangs are not set up here"}, 0)
-		return
-	}
-	if spec.Kind == model.Gang && s.clusterVersion < versionGangs {
+	if spec.Kind == model.Gang && s.cfg.GangWait > 0 && s.clusterVersion < versionGangs {
 		// A controller of the former version may still take this job over.
 		s.later(o, "not all controllers know gangs yet")
 		return
 	}
-	if why := s.impossible(&spec); why != "" {
-		// Only for a job that isn't known: an accepted one must not be
-		// refused later, whatever the settings say by then.
-		s.ifUnknown(o, spec.ID,
-			func() { s.answer(o, 422, Problem{why}, 0) },
-			func() bool { return s.passOn(o, "submit", spec.ID, raw(spec), wall) })
-		return
-	}
-	if s.storeAge() > s.storeGap() && s.passOn(o, "submit", spec.ID, raw(spec), wall) {
+	value := raw(jobValue{Spec: &spec, At: wall})
+	pass := func() bool { return s.passOn(o, "submit", spec.ID, raw(spec), wall) }
+	if status, why := s.refusal(&spec, len(value)); status != 0 {
+		s.ifUnknown(o, spec.ID, func() { s.answer(o, status, Problem{why}, 0) }, pass)
 		return
 	}
-	if s.swamped() {
+	switch {
+	case s.storeAge() > s.storeGap() && pass():
+	case s.swamped():
 		s.later(o, "too many submissions under way")
-		return
-	}
-	if !s.loaded || s.storeAge() > 2*s.storeGap() {
+	case !s.loaded || s.storeAge() > 2*s.storeGap():
 		s.later(o, "the state service does not answer")
-		return
+	default:
+		s.storeJob(o, spec.ID, value, pass)
 	}
-	value := raw(jobValue{Spec: &spec, At: wall})
-	if len(value) > s.cfg.ValueBytes {
-		s.answer(o, 400, Problem{"job description too long"}, 0)
-		return
+}
+
+// refusal says with which status a job is refused for good, and why; 0: it isn't.
+func (s *State) refusal(spec *model.Job, bytes int) (status int, why string) {
+	if spec.Kind == model.Gang && s.cfg.GangWait == 0 {
+		return 400, "shape: gangs are not set up here"
 	}
-	key := dirJobs + spec.ID
+	if why := s.impossible(spec); why != "" {
+		return 422, why
+	}
+	if bytes > s.cfg.ValueBytes {
+		return 400, "job description too long"
+	}
+	return 0, ""
+}
+
+// storeJob makes a submission durable and answers it; pass hands it to a peer.
+func (s *State) storeJob(o origin, id string, value []byte, pass func() bool) {
+	key := dirJobs + id
 	s.put(&write{
 		change:   Change{Key: key, Value: value},
 		deadline: s.now + userWait,
 		done: func(r outcome) {
-			switch r {
-			case written:
+			j := s.jobs[id]
+			switch {
+			case r == written:
 				s.nudge(key, value)
-				s.answer(o, 201, JobStatus{ID: spec.ID, Phase: model.PhaseQueued}, 0)
-			case conflict:
-				// Known by now, through another node or an earlier try.
-				if s.jobs[spec.ID] != nil {
-					s.tell(o, s.jobs[spec.ID])
-					return
-				}
+				s.answer(o, 201, JobStatus{ID: id, Phase: model.PhaseQueued}, 0)
+			case r == conflict && j != nil:
+				s.tell(o, j) // known by now, through another node or an earlier try
+			case r == conflict:
 				s.later(o, "try again")
-			default:
-				if !s.passOn(o, "submit", spec.ID, raw(spec), wall) {
-					s.later(o, "the state service does not answer")
-				}
+			case !pass():
+				s.later(o, "the state service does not answer")
 			}
 		},
 	})
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -97,34 +97,41 @@
 		s.tell(o, j)
 		return
 	}
-	if s.storeAge() > s.storeGap() && s.passOn(o, "withdraw", id, nil, 0) {
-		return
-	}
-	if s.jobs[id] == nil {
-		if len(s.waiters) >= s.cfg.Requests {
-			s.later(o, "too many requests under way")
-			return
-		}
-		s.fresh(func(ok bool) {
-			switch {
-			case !ok:
-				s.later(o, "the state service does not answer")
-			case s.jobs[id] == nil:
-				s.answer(o, 404, Problem{"no such job"}, 0)
-			default:
-				s.withdraw(o, id)
-			}
-		})
-		return
-	}
-	if !s.loaded || s.storeAge() > 2*s.storeGap() {
+	pass := func() bool { return s.passOn(o, "withdraw", id, nil, 0) }
+	switch {
+	case s.storeAge() > s.storeGap() && pass():
+	case s.jobs[id] == nil:
+		s.withdrawUnknown(o, id)
+	case !s.loaded || s.storeAge() > 2*s.storeGap():
 		s.later(o, "the state service does not answer")
-		return
-	}
-	if s.swamped() {
+	case s.swamped():
 		s.later(o, "too many changes under way")
+	default:
+		s.storeWithdrawal(o, id, pass)
+	}
+}
+
+// withdrawUnknown reads the state service before a job counts as unknown.
+func (s *State) withdrawUnknown(o origin, id string) {
+	if len(s.waiters) >= s.cfg.Requests {
+		s.later(o, "too many requests under way")
 		return
 	}
+	s.fresh(func(ok bool) {
+		switch {
+		case !ok:
+			s.later(o, "the state service does not answer")
+		case s.jobs[id] == nil:
+			s.answer(o, 404, Problem{"no such job"}, 0)
+		default:
+			s.withdraw(o, id)
+		}
+	})
+}
+
+// storeWithdrawal makes a cancellation durable and confirms it; pass hands it to
+// a peer.
+func (s *State) storeWithdrawal(o origin, id string, pass func() bool) {
 	key := dirJobs + id
 	value := raw(jobValue{Phase: model.PhaseAborted})
 	s.put(&write{
@@ -138,10 +145,8 @@
 				s.tell(o, j)
 			case r == conflict && j != nil && j.final():
 				s.tell(o, j)
-			default:
-				if !s.passOn(o, "withdraw", id, nil, 0) {
-					s.later(o, "the state service does not answer")
-				}
+			case !pass():
+				s.later(o, "the state service does not answer")
 			}
 		},
 	})
