Test a stop that arrives as the gang completes, and a drained machine of a gang

The row on a recall just before the end never sent its stop in time: it came after the gang was done.

--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -217,6 +217,19 @@
 			t.Errorf("the third task is adopted and goes on: %+v", x)
 		}
 	})
+	t.Run("a gang on a machine that is drained stops as a whole, with the time to save", func(t *testing.T) {
+		s, j, m := gathering(t)
+		other := s.machine("n-2")
+		j.Checkpoint, j.SaveCost, j.gang.began = 20, 4, true
+		s.bind(&task{job: j, index: 2, name: model.TaskName(j.ID, 2), attempt: 7, m: other, session: 1, issued: true, state: model.TaskRunning})
+		m.slowSigns = slowSamples
+		s.findSlow()
+		for i, x := range j.tasks {
+			if !x.killing || x.grace < j.SaveCost {
+				t.Errorf("task %d: stopped: %v, %v s to save", i, x.killing, x.grace)
+			}
+		}
+	})
 	t.Run("room that is being made for a gang is not made twice", func(t *testing.T) {
 		s, _, _ := leading(t)
 		s.types["small"] = &model.MachineType{Name: "small", CPUs: 4, MemoryGB: 16, FetchRate: 1}
--- a/internal/sim/gang_faults_test.go
+++ b/internal/sim/gang_faults_test.go
@@ -156,8 +156,13 @@
 				})
 			})
 		}, doneBy: 100 * second, attempts: 2},
-		{name: "a recall is told just before the gang completes", play: func(w *World) {
-			w.whenGang(model.TaskRunning, 5, func() { w.After(16*second, w.recallFirst) })
+		{name: "the stop of a recall arrives as the gang completes", play: func(w *World) {
+			w.whenGang(model.TaskRunning, 5, func() {
+				// The stop goes out SaveCost and a report before the machine goes:
+				// within the last fifth of a second of the gang, by seed.
+				early := 2*second + w.Opt.Config.ReportEvery + time.Duration(w.Opt.Seed%3)*60*time.Millisecond
+				w.After(20*second-9*second+early-60*time.Millisecond, w.recallFirst)
+			})
 		}, doneBy: 80 * second, attempts: 2},
 		{name: "a machine of the gang hangs and is given up", play: func(w *World) {
 			w.whenGang(model.TaskRunning, 5, func() {
