Write down the timeline of the cancelled job's tasks; log what would tell

The log now follows each cancellation: learnt, confirmed, stops sent, tasks gone, and once a report interval how many are outstanding, as a warning from half of the time allowed on; leases renewed and reads of the state service at the debug level only. What is kept for that is bounded.

--- /dev/null
+++ b/internal/core/cancellation_watch.go
@@ -0,0 +1,178 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"mulleinfall/internal/model"
+)
+
+// What a controller writes down of cancellations, so that a task that outlives
+// one can be traced: when the cancellation was learnt and confirmed to a user,
+// when the stops were sent, and when the last task was gone. It decides nothing.
+
+const (
+	// maxWatchedCancellations bounds what is kept for the log.
+	maxWatchedCancellations = 2000
+	// cancellationWarning is the part of the time allowed after which the log
+	// warns of tasks that are still to be seen.
+	cancellationWarning = 0.5
+)
+
+// cancellation is what is kept of one cancelled job.
+type cancellation struct {
+	job         *job
+	revision    uint64        // of the state service; 0: not known any more
+	confirmed   bool          // this controller has told a user
+	stops       int           // stop orders sent
+	firstStopAt time.Duration // 0: none was sent
+	lastStopAt  time.Duration
+}
+
+// cancellationWatch holds the cancellations of which the log still has to tell.
+type cancellationWatch struct {
+	watched  map[string]*cancellation
+	reviewAt time.Duration // the next line on those outstanding
+}
+
+// watchCancellation begins to keep what is logged of j's cancellation.
+func (s *State) watchCancellation(j *job, revision uint64) *cancellation {
+	if c := s.watched[j.ID]; c != nil {
+		return c
+	}
+	if len(s.watched) >= maxWatchedCancellations {
+		return nil
+	}
+	c := &cancellation{job: j, revision: revision}
+	s.watched[j.ID] = c
+	return c
+}
+
+// cancellationLearnt notes that this controller has learnt of a cancellation.
+func (s *State) cancellationLearnt(j *job, revision uint64) {
+	if !s.loaded {
+		return // the first reading brings those of all time
+	}
+	if s.watchCancellation(j, revision) != nil {
+		s.log(slog.LevelInfo, "cancellation learnt", "job", j.ID, "rev", revision, "read_age", s.now-s.readAt, "leading", s.Leading())
+	}
+}
+
+// cancellationConfirmed notes that a user is told of a cancellation.
+func (s *State) cancellationConfirmed(j *job) {
+	if j.phase != model.PhaseAborted {
+		return
+	}
+	c := s.watched[j.ID]
+	if c == nil || c.confirmed {
+		return
+	}
+	c.confirmed = true
+	s.log(slog.LevelInfo, "cancellation confirmed", "job", j.ID, "rev", c.revision, "known_for", s.now-j.overAt, "leading", s.Leading())
+}
+
+// stopsSent notes the stops among the orders that a machine is sent.
+func (s *State) stopsSent(m *machine, orders []model.Order, way string) {
+	for _, o := range orders {
+		if o.Verb == model.Kill {
+			s.stopSent(o.Task, m.host, way)
+		}
+	}
+}
+
+// stopSent notes that a worker is sent a stop of a cancelled job's task.
+func (s *State) stopSent(task, host, way string) {
+	id, _, _ := model.SplitTask(task)
+	j := s.jobs[id]
+	if j == nil || j.phase != model.PhaseAborted {
+		return
+	}
+	c := s.watchCancellation(j, 0)
+	if c == nil {
+		return
+	}
+	if c.stops == 0 {
+		c.firstStopAt = s.now
+	}
+	c.stops++
+	c.lastStopAt = s.now
+	s.debug("stop of a cancelled task sent", "task", task, "host", host, "by", way, "term", s.leadership.Term)
+}
+
+// leaseRenewed notes the answer that renews a worker's lease, and by what right.
+func (s *State) leaseRenewed(m *machine, r *model.Report, orders int) {
+	if !s.cfg.DebugLog {
+		return // a line a report: what it tells isn't even worked out otherwise
+	}
+	l := s.leadership
+	s.debug("lease renewed", "host", m.host, "session", r.Session, "seq", r.Seq, "adopted", m.adopted, "orders", orders, "epoch", s.epoch(m),
+		"until", l.Until(), "key_until", l.KeyUntil(), "view_until", l.Current(), "now", s.now)
+}
+
+// debug logs a line that is worth its cost only while an operator asks for it.
+func (s *State) debug(text string, args ...any) {
+	if s.cfg.DebugLog {
+		s.log(slog.LevelDebug, text, args...)
+	}
+}
+
+// reviewCancellations tells once a report interval of the cancellations whose
+// tasks may still be there, and of each whose tasks are gone.
+func (s *State) reviewCancellations() {
+	if s.now < s.reviewAt {
+		return
+	}
+	s.reviewAt = s.now + s.cfg.ReportEvery
+	shown := s.jobsOfOrphans()
+	var oldest *cancellation
+	outstanding := 0
+	for _, id := range ordered(s.watched) {
+		c := s.watched[id]
+		if s.Leading() && (len(c.job.tasks) > 0 || shown[id]) {
+			outstanding++
+			if oldest == nil || c.job.overAt < oldest.job.overAt {
+				oldest = c
+			}
+			continue
+		}
+		s.endCancellationWatch(id, c)
+	}
+	if oldest == nil {
+		return
+	}
+	level, known := slog.LevelInfo, s.now-oldest.job.overAt
+	if float64(known) >= cancellationWarning*float64(s.cfg.CancelIn) {
+		level = slog.LevelWarn
+	}
+	s.log(level, "cancelled tasks outstanding", "jobs", outstanding, "oldest", oldest.job.ID, "known_for", known, "allowed", s.cfg.CancelIn,
+		"stops", oldest.stops, "term", s.leadership.Term)
+}
+
+// endCancellationWatch forgets a cancellation: its tasks are gone as far as this
+// leader can know, or it is another controller's to look after them.
+func (s *State) endCancellationWatch(id string, c *cancellation) {
+	over := s.now - c.job.overAt
+	switch {
+	case s.Leading() && s.settled:
+		delete(s.watched, id)
+		if c.stops > 0 {
+			s.log(slog.LevelInfo, "cancelled tasks gone", "job", id, "known_for", over, "stops", c.stops,
+				"first_stop_after", c.firstStopAt-c.job.overAt, "last_stop_after", c.lastStopAt-c.job.overAt, "term", s.leadership.Term)
+		}
+	case over > s.cfg.CancelIn:
+		delete(s.watched, id)
+	}
+}
+
+// jobsOfOrphans are the jobs whose tasks are seen on machines that shouldn't have
+// them.
+func (s *State) jobsOfOrphans() map[string]bool {
+	jobs := map[string]bool{}
+	for _, m := range s.orphaned {
+		for task := range m.orphans {
+			id, _, _ := model.SplitTask(task)
+			jobs[id] = true
+		}
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/core/cancellation_watch_test.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// logLines are the lines of a level and text among effects.
+func logLines(effects []Effect, level slog.Level, text string) int {
+	n := 0
+	for _, e := range effects {
+		if l, ok := e.(Log); ok && l.Level == level && l.Text == text {
+			n++
+		}
+	}
+	return n
+}
+
+// leaderWithCancelledTask is a leader that has learnt at 10 s that a job is
+// cancelled, whose task a machine still shows.
+func leaderWithCancelledTask() (*State, *job) {
+	s := alone()
+	s.loaded, s.hasTouch, s.ready, s.settled = true, true, true, true
+	s.leadership, s.teams = newLeadership(s), map[string]sched.Resources{}
+	spec := &model.Job{ID: "req-000001", Team: "t", Tasks: 1, Kind: model.Service}
+	s.apply(Item{Key: dirJobs + spec.ID, Value: raw(jobValue{Spec: spec}), Stamp: 5})
+	m := s.machine("n-1")
+	m.session, m.adopted = 1, true
+	s.piece(m, model.TaskReport{Task: "req-000001/0", Attempt: 7, State: model.TaskRunning}, &model.Report{Session: 1})
+	s.now = 10 * time.Second
+	s.apply(Item{Key: dirJobs + spec.ID, Value: raw(jobValue{Phase: model.PhaseAborted}), Stamp: 6})
+	return s, s.jobs[spec.ID]
+}
+
+// TestCancellationLog: the log tells of each cancellation, warns while its tasks
+// are still to be seen after half of the time allowed, and says when they are gone.
+func TestCancellationLog(t *testing.T) {
+	s, j := leaderWithCancelledTask()
+	if logLines(s.out, slog.LevelInfo, "cancellation learnt") != 1 {
+		t.Errorf("not learnt: %v", s.out)
+	}
+	for range 2 {
+		s.tell(origin{req: 1}, j)
+	}
+	if n := logLines(s.out, slog.LevelInfo, "cancellation confirmed"); n != 1 {
+		t.Errorf("confirmed %d times, want one line", n)
+	}
+	for _, c := range []struct {
+		at    time.Duration
+		level slog.Level
+	}{{12 * time.Second, slog.LevelInfo}, {24900 * time.Millisecond, slog.LevelInfo}, {26400 * time.Millisecond, slog.LevelWarn}} {
+		s.now, s.out = c.at, nil
+		s.reviewCancellations()
+		s.reviewCancellations() // once a report interval
+		if n := logLines(s.out, c.level, "cancelled tasks outstanding"); n != 1 {
+			t.Errorf("at %v: %d lines of level %v, want 1: %v", c.at, n, c.level, s.out)
+		}
+	}
+	s.stopsSent(s.machines["n-1"], []model.Order{j.tasks[0].killOrder()}, "answer")
+	s.unbind(j.tasks[0], model.CauseStopped)
+	s.now, s.out = 28*time.Second, nil
+	s.reviewCancellations()
+	if logLines(s.out, slog.LevelInfo, "cancelled tasks gone") != 1 || len(s.watched) != 0 {
+		t.Errorf("%d cancellations still watched after the last task was gone: %v", len(s.watched), s.out)
+	}
+}
+
+// TestCancellationLogIsBounded: what is kept for the log doesn't grow with the
+// cancellations, and what isn't the leader's is forgotten in time.
+func TestCancellationLogIsBounded(t *testing.T) {
+	s := alone()
+	s.loaded = true
+	for i := range maxWatchedCancellations + 50 {
+		key := fmt.Sprintf("%sreq-%06d", dirJobs, i)
+		s.apply(Item{Key: key, Value: raw(jobValue{Phase: model.PhaseAborted}), Stamp: uint64(i + 1)})
+	}
+	if len(s.watched) != maxWatchedCancellations {
+		t.Errorf("%d cancellations watched, want %d", len(s.watched), maxWatchedCancellations)
+	}
+	s.now = s.cfg.CancelIn + time.Second
+	s.reviewCancellations()
+	if len(s.watched) != 0 {
+		t.Errorf("%d cancellations watched after the time allowed by a controller that doesn't lead", len(s.watched))
+	}
+}
+
+// TestDebugLogIsOff: the lines of single answers cost nothing unless asked for.
+func TestDebugLogIsOff(t *testing.T) {
+	for _, wanted := range []bool{false, true} {
+		s, j := leaderWithCancelledTask()
+		s.cfg.DebugLog, s.out = wanted, nil
+		m := s.machines["n-1"]
+		s.renewLease(pendingReport{m: m, r: &model.Report{}}, []model.Order{j.tasks[0].killOrder()})
+		got := logLines(s.out, slog.LevelDebug, "lease renewed") + logLines(s.out, slog.LevelDebug, "stop of a cancelled task sent")
+		if (got == 2) != wanted || !wanted && got != 0 {
+			t.Errorf("debug lines wanted: %v, got %d", wanted, got)
+		}
+	}
+}
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -128,6 +128,7 @@
 // without its word the user is told to come back.
 func (s *State) tell(o origin, j *job) {
 	if s.mayTell(j) {
+		s.cancellationConfirmed(j)
 		s.answer(o, 200, s.status(j), 0)
 		return
 	}
@@ -148,6 +149,7 @@
 	for _, u := range waiting {
 		switch {
 		case s.mayTell(u.job):
+			s.cancellationConfirmed(u.job)
 			s.answer(u.from, 200, s.status(u.job), 0)
 		case s.now >= u.until:
 			s.later(u.from, "the leader does not answer")
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -123,6 +123,7 @@
 	if orders == nil {
 		orders = []model.Order{}
 	}
+	s.stopsSent(m, orders, "command")
 	c := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: epoch, Session: m.session, Orders: orders, Until: leadership.Until()}
 	c.Call = s.call(func(res any) {
 		d := res.(AgentDone)
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -133,6 +133,9 @@
 		}
 		m.returning, m.returnTold = true, true
 		s.dirty = true
+		if s.overdue(m) {
+			s.log(level, "machine given up for cancelled tasks", "host", h, "silent_for", s.now-m.heard, "term", s.leadership.Term)
+		}
 		s.log(level, "returning machine", "host", h, "up", m.up, "lapsed", m.lapsed, "term", s.leadership.Term)
 	}
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -133,6 +133,9 @@
 		if v.Phase == model.PhaseAborted && it.Stamp > s.termStamp {
 			s.unshared[id] = it.Stamp
 		}
+		if v.Phase == model.PhaseAborted {
+			s.cancellationLearnt(j, it.Stamp)
+		}
 		if s.leadership != nil && s.electedAt != 0 {
 			s.jobOver(j)
 		}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -30,7 +30,14 @@
 	}
 	m := h.m
 	m.told, m.toldSeq, m.toldAt = s.epoch(m), max(m.toldSeq, h.r.Seq), s.now
-	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(m), s.orders(m, h.r)}, Until: s.leadership.Until()})
+	s.renewLease(h, s.orders(m, h.r))
+}
+
+// renewLease answers a report with 200, which renews its worker's lease.
+func (s *State) renewLease(h pendingReport, orders []model.Order) {
+	s.leaseRenewed(h.m, h.r, len(orders))
+	s.stopsSent(h.m, orders, "answer")
+	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(h.m), orders}, Until: s.leadership.Until()})
 }
 
 // answerReports answers the held reports, but for those whose machine's mark is
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -166,6 +166,7 @@
 		}
 		s.rev = max(s.rev, d.Rev)
 		s.hasRead(sent)
+		s.debug("state read", "sent", sent, "received", s.now, "rev", d.Rev, "changes", len(d.Items))
 		return true
 	case 410:
 		// Too far behind: read everything again.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -102,7 +102,7 @@
 		s.pendingReports = append(s.pendingReports, h)
 		return
 	}
-	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(m), []model.Order{}}, Until: s.leadership.Until()})
+	s.renewLease(h, []model.Order{})
 }
 
 // askAgain asks a machine whose report looks old for its own word: a worker
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -37,6 +37,7 @@
 	writer
 	users
 	cancels
+	cancellationWatch
 	leadState
 	versionState
 
@@ -99,6 +100,7 @@
 	s.round = sched.NewRound(sched.Config{SkipLimit: cfg.SkipLimit})
 	s.users.init(cfg.Boot)
 	s.cancels.unshared = map[string]uint64{}
+	s.watched = map[string]*cancellation{}
 	s.pageHosts = map[int]int{}
 	// Controllers that start together must not all run at the same instant.
 	s.campaignAt = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
@@ -154,6 +156,7 @@
 	s.noteVersion()
 	s.announceRestart()
 	s.campaign()
+	s.reviewCancellations()
 	if !s.Leading() {
 		return
 	}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -63,6 +63,9 @@
 	s.unlink(t)
 	s.unfetch(t)
 	s.dirty = true
+	if t.job.phase == model.PhaseAborted {
+		s.debug("cancelled task gone", "task", t.name, "attempt", t.attempt, "host", t.m.host, "why", why, "term", s.leadership.Term)
+	}
 	if why != model.CauseDone && !t.job.final() {
 		if t.job.Kind == model.Gang {
 			s.gangLost(t, why)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -56,6 +56,9 @@
 
 	Tuning
 
+	// DebugLog says that lines of the debug level are wanted.
+	DebugLog bool
+
 	// Budget is the time that one round of decisions may take (0: any), and
 	// Stopwatch starts a measurement whose result tells how much has passed.
 	// Nil: no time passes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 		asked:  map[uint64]question{}, links: map[string]*peer.Link{},
 		logs: rate.NewLimiter(linesPerSecond, 10*linesPerSecond)}
 	cfg := set.Core(boot)
+	cfg.DebugLog = slog.Default().Enabled(context.Background(), slog.LevelDebug)
 	cfg.Budget = set.Budget
 	cfg.Stopwatch = func() func() time.Duration {
 		began := n.Now()
