--- /dev/null
+++ b/internal/core/silence_test.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"mulleinfall/internal/sched"
+)
+
+// TestUnwrittenSilence: a leader notes that a machine is silent, and its term ends
+// before that is written; whoever leads next answers the machine. Leading again, it
+// counts the machine's lease from its own election and not from its old note: it once
+// took such machines for lost, and what they had ran twice.
+func TestUnwrittenSilence(t *testing.T) {
+	s := alone()
+	s.cfg.Skew = time.Second
+	s.loaded, s.hasTouch, s.ready = true, true, true
+	s.leadership, s.teams = newLeadership(s), map[string]sched.Resources{}
+	s.pages = map[int]*page{}
+	s.apply(Item{Key: dirPage + "1", Value: raw(map[string]rosterValue{"n-1": {Endpoint: "e", Type: "small", Zone: "a"}}), Stamp: 5})
+	m := s.machines["n-1"]
+	s.wall, s.wallRead, s.now = 1_000_000, 20*time.Second, 20*time.Second
+	m.adopted, m.lastReplyAt = true, 15*time.Second
+	s.keepRoster()
+	if m.silentSince == 0 || m.silentStored == 0 {
+		t.Fatal("a machine not answered for 5 s isn't noted as silent")
+	}
+	s.stepDown("the state service is out of reach")
+
+	s.now = 60 * time.Second
+	s.wall, s.wallRead = 1_040_000, s.now
+	s.leadership, s.ready, s.electedAt = newLeadership(s), true, s.now
+	s.takeOver()
+	if m.lastReplyAt != s.electedAt {
+		t.Errorf("elected at %v, the machine counts as last answered at %v by a note that was never written", s.electedAt, m.lastReplyAt)
+	}
+
+	s.apply(Item{Key: dirPage + "1", Value: raw(map[string]rosterValue{"n-1": {Endpoint: "e", Type: "small", Zone: "a", SilentSince: 1_035_000}}), Stamp: 8})
+	s.stepDown("over")
+	s.leadership, s.ready, s.electedAt = newLeadership(s), true, s.now
+	s.takeOver()
+	if want := s.now - 5*time.Second; m.lastReplyAt < want || m.lastReplyAt > want+2*s.cfg.Skew {
+		t.Errorf("the machine counts as last answered at %v, want %v as the roster says, and the bound on the time of day", m.lastReplyAt, want)
+	}
+}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -18,6 +18,12 @@
 	// LateStarts counts tasks that began after their job was confirmed as
 	// cancelled.
 	LateStarts int
+	// Cancelled counts tasks that were on a machine when their job's user was told
+	// that it is cancelled. LeastMargin is the least time that was left of what is
+	// allowed when such a task had gone, LeastMarginTask that task ("": none yet).
+	Cancelled       int
+	LeastMargin     time.Duration
+	LeastMarginTask string
 }
 
 // truth is what really became of a job.
@@ -118,6 +124,7 @@
 func (c *Checker) off(task string, wk *Worker, r *run) {
 	if t := c.jobOf(task); t != nil && t.on[task] == wk {
 		delete(t.on, task)
+		c.noteMargin(task, t)
 		if t.spec.Kind == model.Gang && !t.done[task] {
 			t.gang(r.attempt).left(task, c.w.Now)
 		}
@@ -125,6 +132,19 @@
 	}
 }
 
+// noteMargin notes how much of the time allowed was left when a cancelled task had
+// gone. It shows which days come near to breaking ran_cancelled.
+func (c *Checker) noteMargin(task string, t *truth) {
+	if t.toldCancelled == 0 {
+		return
+	}
+	c.Cancelled++
+	margin := t.toldCancelled + c.w.Opt.Config.CancelIn - c.w.Now
+	if c.LeastMarginTask == "" || margin < c.LeastMargin {
+		c.LeastMargin, c.LeastMarginTask = margin, task
+	}
+}
+
 // told checks an answer to a user against the truth and earlier answers. An
 // answer to a question that was asked before the user was told the end of a
 // job may still show it alive: the two crossed on the way.
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -21,10 +21,14 @@
 	asks  map[uint64]func(core.Reply)
 	req   uint64
 	Boots int
-	still *pause  // stands still
-	old   bool    // runs the former version
-	skew  float64 // of the steady clock
-	wall  float64 // of the time of day, in parts of its bound
+	still *pause // stands still
+	old   bool   // runs the former version
+	// Work is how long each step takes: what comes meanwhile waits for its turn, and
+	// ticks are dropped. 0: no time passes.
+	Work   time.Duration
+	freeAt time.Duration // when the steps that wait have been made
+	skew   float64       // of the steady clock
+	wall   float64       // of the time of day, in parts of its bound
 }
 
 // Up says whether the process runs.
@@ -119,11 +123,30 @@
 	n.w.After(50*time.Millisecond, func() { n.tick(life) })
 }
 
-// Step feeds the core an event and carries its effects out.
+// Step feeds the core an event, as soon as it has made the steps before.
 func (n *Node) Step(ev core.Event) {
 	if n.State == nil {
 		return
 	}
+	if n.Work == 0 {
+		n.process(ev)
+		return
+	}
+	_, tick := ev.(core.Tick)
+	if tick && n.freeAt > n.w.Now {
+		return // a ticker drops what isn't taken
+	}
+	n.freeAt = max(n.freeAt, n.w.Now) + n.Work
+	life := n.life
+	n.w.At(n.freeAt, func() {
+		if n.life == life && n.State != nil {
+			n.process(ev)
+		}
+	})
+}
+
+// process feeds the core an event and carries its effects out.
+func (n *Node) process(ev core.Event) {
 	if p := n.still; p != nil && p.begun {
 		if _, tick := ev.(core.Tick); !tick { // a ticker drops what isn't taken
 			p.events = append(p.events, ev)
@@ -188,6 +211,11 @@
 			if wk == nil {
 				return
 			}
+			if w.LateCommands > 0 && w.Rnd.Float64() < w.LateCommands {
+				late := 2*time.Second + time.Duration(w.Rnd.Int64N(int64(14*time.Second)))
+				w.After(late, func() { wk.commands(e, func(core.AgentDone) {}) })
+				return
+			}
 			wk.commands(e, func(d core.AgentDone) {
 				w.send(e.Endpoint, n.Name, alive(func() { n.later(d) }))
 			})
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -59,6 +59,11 @@
 	// gets the second answer.
 	Repeats float64
 
+	// LateCommands is the part of the direct commands that are held up on their way:
+	// they get no answer and are carried out once, 2 to 16 s late, if epoch and
+	// session still match.
+	LateCommands float64
+
 	// RefuseNext is the reason for which the next start is refused, by whichever
 	// machine; "": it isn't. Refusals counts them.
 	RefuseNext string
