Renew no worker's lease without the stops of cancelled tasks that it shows

Cause: a 200 to a report renews the worker's lease; answers to machines that a new leader hasn't adopted, and to reports overtaken by a command's answer, carried no orders, and those that didn't fit were cut with stops among them. More than cancel_s - lease_s after a cancellation was confirmed such an answer lets its tasks outlive cancel_s, if the machine is out of reach afterwards or the leader ends before the next report.

Change: all answers that renew a lease go through renewLease, which puts the stop of each task shown of a job that is over in front; also of one whose start may have come between report and answer, under a higher epoch. The worker takes both or neither. Jobs that aren't over are not touched, nothing is returned earlier.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"mulleinfall/internal/model"
@@ -33,13 +35,78 @@
 	s.renewLease(h, s.orders(m, h.r))
 }
 
-// renewLease answers a report with 200, which renews its worker's lease.
+// renewLease answers a report with 200, which renews its worker's lease. With the
+// renewal goes the stop of each task that the report shows of a job that is over,
+// whatever else the machine may be told: the worker takes both or neither. So no lease
+// outlives, by the word of a leader that knows of a cancellation, the stop of its
+// tasks. Answers to machines that weren't adopted yet once renewed leases without it,
+// term after term, until the tasks were there beyond cancel_s.
 func (s *State) renewLease(h pendingReport, orders []model.Order) {
+	orders = s.withStops(h.m, h.r, orders)
 	s.leaseRenewed(h.m, h.r, len(orders))
 	s.stopsSent(h.m, orders, "answer")
 	s.emit(Reply{Req: h.req, Status: 200, Body: ReportReply{s.epoch(h.m), orders}, Until: s.leadership.Until()})
 }
 
+// withStops puts the stops that an answer to r must carry in front of orders, which
+// are cut to what fits.
+func (s *State) withStops(m *machine, r *model.Report, orders []model.Order) []model.Order {
+	stops := s.stopsOfStarts(m, s.stopsOfShown(r))
+	if len(stops) == 0 {
+		return orders
+	}
+	for _, o := range orders {
+		if o.Verb != model.Kill || !containsStop(stops, o) {
+			stops = append(stops, o)
+		}
+	}
+	return stops[:min(len(stops), maxOrders)]
+}
+
+// stopsOfShown are the stops of the tasks that r shows of jobs that are over.
+func (s *State) stopsOfShown(r *model.Report) []model.Order {
+	var stops []model.Order
+	for _, p := range r.Tasks {
+		if p.State != model.TaskExited && s.jobIsOver(p.Task) {
+			stops = append(stops, model.Order{Verb: model.Kill, Task: p.Task, Attempt: p.Attempt, Grace: new(float64)})
+		}
+	}
+	return stops
+}
+
+// stopsOfStarts adds the stops of tasks whose start may have come between a report and
+// its answer. A start that comes later still finds a higher epoch.
+func (s *State) stopsOfStarts(m *machine, stops []model.Order) []model.Order {
+	var starting []*task
+	for _, t := range m.tasks {
+		if t.killing && t.issued && t.job.final() && !containsStop(stops, t.killOrder()) {
+			starting = append(starting, t)
+		}
+	}
+	slices.SortFunc(starting, func(a, b *task) int { return strings.Compare(a.name, b.name) })
+	for _, t := range starting {
+		if t.directEpoch != 0 && s.epoch(m) <= t.directEpoch {
+			s.raiseFence(m)
+		}
+		stops = append(stops, t.killOrder())
+	}
+	return stops
+}
+
+// containsStop says whether orders stop the attempt that o stops.
+func containsStop(orders []model.Order, o model.Order) bool {
+	return slices.ContainsFunc(orders, func(other model.Order) bool {
+		return other.Verb == model.Kill && other.Task == o.Task && other.Attempt == o.Attempt
+	})
+}
+
+// jobIsOver says whether a task's job is known to be cancelled or done.
+func (s *State) jobIsOver(task string) bool {
+	id, _, _ := model.SplitTask(task)
+	j := s.jobs[id]
+	return j != nil && j.final()
+}
+
 // answerReports answers the held reports, but for those whose machine's mark is
 // still being taken off the roster.
 func (s *State) answerReports() {
--- /dev/null
+++ b/internal/core/stops_test.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleinfall/internal/model"
+	"mulleinfall/internal/sched"
+)
+
+// TestAnswersCarryStops: an answer that renews a worker's lease carries the order to
+// stop each task that the report shows of a job known to be cancelled, whichever way
+// the report takes. Renewed without it late enough, the lease outlives cancel_s.
+func TestAnswersCarryStops(t *testing.T) {
+	const host, cancelled = "n-1", "req-000001/0"
+	for _, c := range []struct {
+		name string
+		// report is what the worker says, in session 1.
+		report func(s *State, m *machine) *model.Report
+		hidden bool // the report doesn't show the task
+	}{
+		{"the machine has shown this term's epoch", func(s *State, m *machine) *model.Report {
+			return &model.Report{Seq: 6, Epoch: s.epochBase()}
+		}, false},
+		{"a start is on its way", func(s *State, m *machine) *model.Report {
+			m.tasks[cancelled] = &task{job: s.jobs["req-000001"], name: cancelled, attempt: 9, m: m, issued: true, directEpoch: s.epoch(m)}
+			return &model.Report{Seq: 6, Epoch: s.epochBase()}
+		}, true},
+		{"the machine is new to this leader", func(s *State, m *machine) *model.Report {
+			m.adopted = false
+			return &model.Report{Seq: 6, Epoch: 1}
+		}, false},
+		{"a command's answer has overtaken the report", func(s *State, m *machine) *model.Report {
+			m.seq = 7
+			return &model.Report{Seq: 6, Epoch: s.epochBase()}
+		}, false},
+		{"there is more to order than fits", func(s *State, m *machine) *model.Report {
+			r := &model.Report{Seq: 6, Epoch: s.epochBase()}
+			for i := range maxOrders {
+				r.Tasks = append(r.Tasks, model.TaskReport{Task: fmt.Sprintf("req-000000/%d", i), Attempt: 3, State: model.TaskExited, Cause: model.CauseStopped})
+			}
+			return r
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := alone()
+			s.loaded, s.hasTouch, s.ready, s.settled = true, true, true, true
+			s.leadership, s.teams = newLeadership(s), map[string]sched.Resources{}
+			s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Phase: model.PhaseAborted}), Stamp: 6})
+			m := s.machine(host)
+			m.session, m.seq, m.adopted, m.rostered, m.up = 1, 5, true, true, true
+			r := c.report(s, m)
+			r.Host, r.Session = host, 1
+			if !c.hidden {
+				r.Tasks = append(r.Tasks, model.TaskReport{Task: cancelled, Attempt: 9, State: model.TaskRunning})
+			}
+			started := s.epoch(m)
+			s.dirty, s.out = true, nil // so that a new report is answered after a round
+			s.takeReport(ReportIn{Req: 1, Report: *r})
+			for _, task := range m.tasks {
+				s.kill(task, 0) // only now is the cancellation learnt
+			}
+			s.answerReports()
+			renewed := false
+			for _, e := range s.out {
+				reply, ok := e.(Reply)
+				if !ok || reply.Status != 200 {
+					continue
+				}
+				renewed = true
+				orders := reply.Body.(ReportReply).Orders
+				if !stops(orders, cancelled, 9) {
+					t.Errorf("the lease is renewed by %d orders without a stop of %s", len(orders), cancelled)
+				}
+				if epoch := reply.Body.(ReportReply).Epoch; c.hidden && epoch <= started {
+					t.Errorf("a start under epoch %d may still come after the answer under epoch %d", started, epoch)
+				}
+				if len(orders) > maxOrders {
+					t.Errorf("%d orders, more than fit", len(orders))
+				}
+			}
+			if !renewed {
+				t.Errorf("not answered 200: %v", s.out)
+			}
+		})
+	}
+}
+
+// stops says whether orders stop an attempt of a task at once.
+func stops(orders []model.Order, task string, attempt uint64) bool {
+	for _, o := range orders {
+		if o.Verb == model.Kill && o.Task == task && o.Attempt == attempt && o.Grace != nil && *o.Grace == 0 {
+			return true
+		}
+	}
+	return false
+}
