Count no machine's lease from a mark of its silence that was never written

Cause: a leader that notes a machine as silent counts the note as stored from the moment it is queued. If its term ends before the state service has it, the note stayed in the process. Elected again after another leader had answered the machine, it counted the machine's lease from the old note, took it for lost and started its tasks elsewhere: ran_twice.

Change: as a term begins or ends, the mark is again what the state service was last read to have, as is the machine's page already. Writes of an earlier term can't come later: they are guarded by it.

Ruled out: an old page read over a newer one (versions are compared), the time of day.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -37,7 +37,8 @@
 	// quiet is since when it hasn't been answered, as wanted in the roster (0:
 	// no mark), silentStored the mark that may be there.
 	silentSince, silentStored int64
-	standing                  bool // the operators' own, there before us: never returned for being idle
+	silentRead                int64 // the mark as last read from the state service
+	standing                  bool  // the operators' own, there before us: never returned for being idle
 	returning                 bool
 	// returnDoubt: a return had no answer, so the machine can't be counted on.
 	returnDoubt bool
@@ -133,7 +134,10 @@
 	m.told, m.toldSeq, m.toldAt, m.least, m.askedAt, m.askedInVain = 0, 0, 0, 0, 0, false
 	m.reservedFor, m.slow, m.slowSigns = nil, false, 0
 	m.proof, m.reach = nil, reachability{}
-	m.page = m.pageStored // the page that it was meant for may never have been written
+	// What this leader meant to write may never have been written. A leader elected
+	// again once counted a machine's lease from a mark of its earlier term that the
+	// state service never had, while another had answered the machine meanwhile.
+	m.page, m.silentStored = m.pageStored, m.silentRead
 	m.view.Local, m.view.Fetching, m.view.Running = nil, nil, nil
 	m.stale, m.unsent = true, false
 }
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -61,7 +61,8 @@
 	for _, host := range ordered(hosts) {
 		v := hosts[host]
 		m := s.machine(host)
-		m.pageStored, m.rostered, m.standing, m.silentStored = n, true, v.Standing, v.SilentSince
+		m.pageStored, m.rostered, m.standing = n, true, v.Standing
+		m.silentStored, m.silentRead = v.SilentSince, v.SilentSince
 		if !s.ready || m.page == 0 {
 			m.page = n // a leader's own wish stands: it may be moving the machine
 		}
@@ -98,7 +99,7 @@
 }
 
 func (s *State) unroster(m *machine) {
-	m.rostered, m.silentStored = false, 0
+	m.rostered, m.silentStored, m.silentRead = false, 0, 0
 	if !s.Leading() {
 		s.drop(m.host)
 	}
