Add up the worst case of a cancellation and test it for all settings

Config.CancelBound is the sum of docs/design.md: a leader without news acts until its view is too old, and the last lease that it renewed runs on. It holds wherever cancel_s is at least six fifths of lease_s (TestCancelBound); settings below are taken as before, with a warning at the start that names field and amount (TestWarnings). No behaviour changes.

--- a/cmd/mulleinfall/main.go
+++ b/cmd/mulleinfall/main.go
@@ -48,6 +48,9 @@
 		fmt.Fprintln(os.Stderr, "mulleinfall:", err)
 		os.Exit(2)
 	}
+	for _, w := range set.Warnings() {
+		slog.Warn(w)
+	}
 	if k.Command() == "check" {
 		fmt.Println("settings are in order")
 		return
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -101,3 +101,21 @@
 		}
 	}
 }
+
+// TestWarnings: settings with too little time between lease and cancellation are
+// taken, but whoever runs them is told what can't be promised.
+func TestWarnings(t *testing.T) {
+	for _, c := range []struct {
+		cancel string
+		want   bool
+	}{{"30", false}, {"24", false}, {"23", true}, {"20", true}, {"10", true}} {
+		s, err := Load(write(t, "s.json", strings.Replace(good, `"cancel_s": 30`, `"cancel_s": `+c.cancel, 1)), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := s.Warnings()
+		if (len(got) > 0) != c.want || c.want && !strings.HasPrefix(got[0], "facts.workers.cancel_s: "+c.cancel+"s is less than") {
+			t.Errorf("lease_s 20, cancel_s %s: %q, want a warning: %v", c.cancel, got, c.want)
+		}
+	}
+}
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"fmt"
+
 	"mulleinfall/internal/core"
 	"mulleinfall/internal/sched"
 )
@@ -35,6 +37,15 @@
 	return c
 }
 
+// Warnings are what the service can't promise with these settings.
+func (s *Settings) Warnings() []string {
+	c := s.Core(0)
+	if bound := c.CancelBound(); len(c.Peers) > 0 && bound > c.CancelIn {
+		return []string{fmt.Sprintf("facts.workers.cancel_s: %v is less than the %v that tasks of a cancelled job may take to be gone under failures: at least six fifths of lease_s are needed", c.CancelIn, bound)}
+	}
+	return nil
+}
+
 // keepToNextLimits takes the smaller of the state service's limits now and later
 // from the start: the change comes without notice, and a value that was too large
 // by then could not be written.
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -40,6 +40,16 @@
 	return max(spare-spare/16-time.Duration(float64(cfg.CancelIn)*4*Drift), promise(cfg))
 }
 
+// CancelBound is how long after its user was told tasks of a cancelled job may be there
+// at most, whatever fails: a leader that doesn't know of the cancellation renews leases
+// until its view is too old, by its clock (the election shortens that by more than the
+// drift), and the last lease runs on, by the worker's. Whoever knows of it renews no
+// lease without the stop (renewLease). docs/design.md has the sum term by term.
+func (c Config) CancelBound() time.Duration {
+	drift := time.Duration(float64(c.Lease) * 2 * Drift)
+	return staleness(c) + c.Lease + drift
+}
+
 // mostUnshared bounds what is told at a time; with more, no read lease is
 // granted.
 const mostUnshared = 2000
--- a/internal/core/stops_test.go
+++ b/internal/core/stops_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"mulleinfall/internal/election"
 	"mulleinfall/internal/model"
 	"mulleinfall/internal/sched"
 )
@@ -86,6 +88,29 @@
 	}
 }
 
+// TestCancelBound adds up the worst case for all settings: a leader without news acts
+// until its view is too old, the last lease that it renewed runs on, and clocks drift
+// against one another. It stays within cancel_s wherever that is at least six fifths of
+// the lease.
+func TestCancelBound(t *testing.T) {
+	const slow = 1 - Drift // the slowest clock
+	for lease := 4.0; lease <= 120; lease += 0.5 {
+		for times := 1.2; times <= 6; times += 0.05 {
+			cfg := Config{Lease: time.Duration(lease * float64(time.Second)), CancelIn: time.Duration(lease * times * float64(time.Second)), Peers: []string{"a", "b"}}
+			s := New(cfg, 0)
+			leadership := election.NewLeadership(s.ecf, 0, 1, 0)
+			leadership.Read(0) // the cancellation is confirmed right after this
+			acts := float64(leadership.Current()) / slow
+			runs := float64(cfg.Lease) / slow
+			if gone := time.Duration(acts + runs); gone > cfg.CancelIn {
+				t.Fatalf("lease %v, cancel_s %v: tasks may be there for %v", cfg.Lease, cfg.CancelIn, gone)
+			} else if bound := cfg.CancelBound(); gone > bound {
+				t.Fatalf("lease %v, cancel_s %v: tasks may be there for %v, the bound is %v", cfg.Lease, cfg.CancelIn, gone, bound)
+			}
+		}
+	}
+}
+
 // stops says whether orders stop an attempt of a task at once.
 func stops(orders []model.Order, task string, attempt uint64) bool {
 	for _, o := range orders {
