Look at one page of the roster only as it is read; count work at 4,000 machines

Each page read anew went over all machines for those to strike off: 150 pages of 27 machines made a full read at 4,000 machines 600,000 looks. It now goes over those that were on that page (TestPageReadLooksAtItsPageOnly). What is struck off stays the same.

TestWorkByFleetSize counts at 501, 999, 2,001 and 4,002 machines instead of up to 2,001, and now also commands by machine, rates to the state service and leases lost in a takeover, and the margin of tasks cancelled in it. Its former limits stand.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -164,7 +164,7 @@
 		}
 	}
 	for n, listed := range s.pageHosts {
-		if p := s.page(n); p.owned != listed {
+		if p := s.page(n); p.owned != len(listed) {
 			p.dirty = true // a machine that is on two pages, since moving it was cut short
 		}
 	}
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -58,7 +58,8 @@
 			return
 		}
 	}
-	for _, host := range ordered(hosts) {
+	listed := ordered(hosts)
+	for _, host := range listed {
 		v := hosts[host]
 		m := s.machine(host)
 		m.pageStored, m.rostered, m.standing = n, true, v.Standing
@@ -68,13 +69,21 @@
 		}
 		s.describe(m, v.Endpoint, v.Type, v.Zone, v.Spot)
 	}
-	for _, m := range s.order {
-		if _, on := hosts[m.host]; m.pageStored == n && m.rostered && !on {
+	s.strikeUnlisted(n, hosts)
+	s.pageHosts[n] = listed
+}
+
+// strikeUnlisted takes the machines off the roster that were on a page when it was
+// last read, and aren't now. It goes over that page only: to look at the whole fleet
+// for each page made a full read grow with its square.
+func (s *State) strikeUnlisted(n int, hosts map[string]rosterValue) {
+	for _, host := range s.pageHosts[n] {
+		m := s.machines[host]
+		if _, on := hosts[host]; m != nil && m.pageStored == n && m.rostered && !on {
 			m.page, m.pageStored = 0, 0
 			s.unroster(m)
 		}
 	}
-	s.pageHosts[n] = len(hosts)
 }
 
 // rosterChanged takes a machine's own key, as versions before the pages wrote
--- a/internal/core/silence_test.go
+++ b/internal/core/silence_test.go
@@ -43,3 +43,32 @@
 		t.Errorf("the machine counts as last answered at %v, want %v as the roster says, and the bound on the time of day", m.lastReplyAt, want)
 	}
 }
+
+// TestPageReadLooksAtItsPageOnly: a page of the roster that is read anew strikes those
+// off that were on it before, without a look at the rest of the fleet.
+func TestPageReadLooksAtItsPageOnly(t *testing.T) {
+	s := alone()
+	listed := func(hosts ...string) []byte {
+		page := map[string]rosterValue{}
+		for _, h := range hosts {
+			page[h] = rosterValue{Endpoint: "e", Type: "small", Zone: "a"}
+		}
+		return raw(page)
+	}
+	s.apply(Item{Key: dirPage + "1", Value: listed("n-1", "n-2"), Stamp: 5})
+	s.apply(Item{Key: dirPage + "2", Value: listed("n-3"), Stamp: 6})
+	// Nothing but a look at all machines would find this one.
+	elsewhere := s.machine("n-4")
+	elsewhere.rostered, elsewhere.pageStored = true, 1
+	s.apply(Item{Key: dirPage + "1", Value: listed("n-2"), Stamp: 7})
+	if s.machines["n-1"] != nil || s.machines["n-2"] == nil || s.machines["n-3"] == nil {
+		t.Errorf("machines known after n-1 was struck off its page: %v", ordered(s.machines))
+	}
+	if !elsewhere.rostered {
+		t.Error("the whole fleet was looked at for one page")
+	}
+	s.apply(Item{Key: dirPage + "1", Stamp: 8, Removed: true})
+	if s.machines["n-2"] != nil || s.machines["n-3"] == nil {
+		t.Errorf("machines known after the page was removed: %v", ordered(s.machines))
+	}
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -59,9 +59,9 @@
 	jobs      map[string]*job
 	active    map[string]*job
 	machines  map[string]*machine
-	order     []*machine  // all machines by name: whatever goes over them goes in this order
-	pageHosts map[int]int // machines on each page of the roster
-	orphaned  []*machine  // those with tasks that they shouldn't have
+	order     []*machine       // all machines by name: whatever goes over them goes in this order
+	pageHosts map[int][]string // machines on each page of the roster, as last read
+	orphaned  []*machine       // those with tasks that they shouldn't have
 }
 
 // promise is how long key and promise live: a part of the workers' lease. A
@@ -101,7 +101,7 @@
 	s.users.init(cfg.Boot)
 	s.cancels.unshared = map[string]uint64{}
 	s.watched = map[string]*cancellation{}
-	s.pageHosts = map[int]int{}
+	s.pageHosts = map[int][]string{}
 	// Controllers that start together must not all run at the same instant.
 	s.campaignAt = now + time.Duration(s.rnd.Float64()*float64(ecf.Promise)/8)
 	return s
--- a/internal/sim/grown_test.go
+++ b/internal/sim/grown_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -172,24 +171,13 @@
 	g := newFleet(3, 150)
 	g.load(100 * second)
 	var returned, elected, settled time.Duration
-	g.Tell = true
-	tamper := g.Opt.Tamper
-	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
-		switch e := e.(type) {
-		case core.CloudCall:
-			if e.Op == core.CloudReturn && slices.Contains(e.Hosts, "n-000007") && returned == 0 {
-				returned = w.Now
-			}
-		case core.Log:
-			switch e.Text {
-			case "elected":
-				elected = w.Now
-			case "all machines accounted for":
-				settled = w.Now
-			}
+	g.onReturn(func(host string) {
+		if host == "n-000007" && returned == 0 {
+			returned = g.Now
 		}
-		return tamper(w, n, e)
-	}
+	})
+	g.onLog("elected", func() { elected = g.Now })
+	g.onLog("all machines accounted for", func() { settled = g.Now })
 	g.At(20*second, func() { g.Cloud.Recall("n-000007", 10*second) })
 	g.Run(40 * second)
 	if returned == 0 || returned > 33*second {
@@ -218,26 +206,9 @@
 	g.load(100 * second)
 	var elected, settled []time.Duration
 	returned := map[string]time.Duration{}
-	g.Tell = true
-	tamper := g.Opt.Tamper
-	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
-		switch e := e.(type) {
-		case core.CloudCall:
-			if e.Op == core.CloudReturn {
-				for _, h := range e.Hosts {
-					returned[h] = w.Now
-				}
-			}
-		case core.Log:
-			switch e.Text {
-			case "elected":
-				elected = append(elected, w.Now)
-			case "all machines accounted for":
-				settled = append(settled, w.Now)
-			}
-		}
-		return tamper(w, n, e)
-	}
+	g.onReturn(func(host string) { returned[host] = g.Now })
+	g.onLog("elected", func() { elected = append(elected, g.Now) })
+	g.onLog("all machines accounted for", func() { settled = append(settled, g.Now) })
 	g.Run(40 * second)
 	cut := g.Workers[sortedKeys(g.Workers)[0]].info.Zone
 	cutZone(g.World, cut, 60*second, "drop")
@@ -442,45 +413,110 @@
 	}
 }
 
-// TestWorkByFleetSize counts, at 500, 1,000 and 2,000 machines with the same
-// load, what may not grow with the fleet: the leader's work on one report, the
-// machines that it looks at until a takeover is settled (by machine), and what
-// it writes on an ordinary day.
+// fleetCounts are what may not grow with the fleet.
+type fleetCounts struct {
+	machines          int
+	allocsPerReport   float64       // of the leader
+	looksPerMachine   float64       // until a takeover is settled
+	directsPerMachine float64       // of the takeover
+	settledAfter      time.Duration // the election
+	changes           float64       // in the state service, in 30 s
+	changesTakeover   float64       // in the 20 s after the leader's end
+	requestsPerSecond float64       // to it, in these
+	leastMargin       time.Duration // of the tasks of cancelled jobs
+	leasesLost        int
+}
+
+// countWork plays a minute of a fleet whose leader ends as jobs are cancelled.
+func countWork(t *testing.T, zone int) fleetCounts {
+	g := newFleet(1, zone)
+	g.load(60 * second)
+	var elected, settled time.Duration
+	g.onLog("elected", func() { elected = g.Now })
+	g.onLog("all machines accounted for", func() { settled = g.Now })
+	g.Run(20 * second)
+	puts := g.puts
+	g.Run(50 * second)
+	c := fleetCounts{machines: g.machines, changes: float64(g.puts - puts)}
+	puts, requests, directs := g.puts, g.requests, g.directs
+	g.cancelNow(10, 0)
+	g.Leader().Crash()
+	g.Run(70 * second)
+	n := g.Leader()
+	if n == nil {
+		t.Fatal("nobody leads")
+	}
+	c.changesTakeover, c.requestsPerSecond = float64(g.puts-puts), float64(g.requests-requests)/20
+	c.looksPerMachine = float64(n.State.MachinesScanned()) / float64(g.machines)
+	c.directsPerMachine = float64(g.directs-directs) / float64(g.machines)
+	c.settledAfter, c.leastMargin, c.leasesLost = settled-elected, g.Check.LeastMargin, g.lost()
+	wk := g.Workers[sortedKeys(g.Workers)[zone]]
+	rep := wk.report()
+	c.allocsPerReport = testing.AllocsPerRun(100, func() {
+		rep.Seq++
+		n.State.Step(n.clock(), core.ReportIn{Req: 1, Report: rep})
+	})
+	for _, b := range g.Check.Broken {
+		t.Error(b)
+	}
+	return c
+}
+
+// TestWorkByFleetSize counts, at 500 to 4,000 machines with the same load, what may
+// not grow with the fleet: the leader's work on one report, the machines that it looks
+// at and asks until a takeover is settled (by machine), and what it writes on an
+// ordinary day. With 4,000 the takeover keeps to the state service's rates and to the
+// leases, and tasks cancelled in it are gone in time.
 func TestWorkByFleetSize(t *testing.T) {
-	type counts struct{ allocs, looks, changes float64 }
-	var all []counts
-	for _, zone := range []int{167, 333, 667} {
-		g := newFleet(1, zone)
-		g.load(60 * second)
-		g.Run(20 * second)
-		puts := g.puts
-		g.Run(30 * second)
-		c := counts{changes: float64(g.puts - puts)}
-		g.Leader().Crash()
-		g.Run(50 * second)
-		n := g.Leader()
-		if n == nil {
-			t.Fatal("nobody leads")
+	limits := largest(1).Config
+	var smallest fleetCounts
+	for i, zone := range []int{167, 333, 667, 1334} {
+		c := countWork(t, zone)
+		t.Logf("%+v", c)
+		if i == 0 {
+			smallest = c
 		}
-		c.looks = float64(n.State.MachinesScanned()) / float64(g.machines)
-		wk := g.Workers[sortedKeys(g.Workers)[zone]]
-		rep := wk.report()
-		c.allocs = testing.AllocsPerRun(100, func() {
-			rep.Seq++
-			n.State.Step(n.clock(), core.ReportIn{Req: 1, Report: rep})
-		})
-		all = append(all, c)
-	}
-	t.Logf("%+v", all)
-	for _, c := range all[1:] {
-		if c.allocs > all[0].allocs+2 {
-			t.Errorf("a report takes %.0f allocations, %.0f in the smallest fleet", c.allocs, all[0].allocs)
+		if c.allocsPerReport > smallest.allocsPerReport+2 {
+			t.Errorf("%d machines: a report takes %.0f allocations, %.0f in the smallest fleet", c.machines, c.allocsPerReport, smallest.allocsPerReport)
 		}
-		if c.looks > 6 {
-			t.Errorf("%.1f looks a machine until a takeover is settled", c.looks)
+		if c.looksPerMachine > 6 || c.directsPerMachine > 3 {
+			t.Errorf("%d machines: %.1f looks and %.1f commands a machine until a takeover is settled", c.machines, c.looksPerMachine, c.directsPerMachine)
 		}
-		if c.changes > 1.5*all[0].changes {
-			t.Errorf("%.0f changes in 10 s, %.0f in the smallest fleet", c.changes, all[0].changes)
+		if c.changes > 1.5*smallest.changes {
+			t.Errorf("%d machines: %.0f changes in 30 s, %.0f in the smallest fleet", c.machines, c.changes, smallest.changes)
+		}
+		if c.settledAfter <= 0 || c.settledAfter > limits.Lease/2 || c.leasesLost > 0 {
+			t.Errorf("%d machines: all accounted for %v after the election, %d leases lost", c.machines, c.settledAfter, c.leasesLost)
+		}
+		if c.requestsPerSecond > limits.StoreRPS/2 || c.changesTakeover > 20*limits.StoreWrites/2 {
+			t.Errorf("%d machines: %.0f requests a second and %.0f changes in a takeover", c.machines, c.requestsPerSecond, c.changesTakeover)
+		}
+		if c.leastMargin < limits.CancelIn-limits.Lease {
+			t.Errorf("%d machines: tasks cancelled in the takeover were gone %v before the time allowed was over", c.machines, c.leastMargin)
+		}
+	}
+}
+
+// onLog calls f whenever a controller logs a text.
+func (g *grown) onLog(text string, f func()) {
+	before := g.Opt.Tamper
+	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
+		if l, ok := e.(core.Log); ok && l.Text == text {
+			f()
+		}
+		return before(w, n, e)
+	}
+}
+
+// onReturn calls f for each machine that a controller asks the cloud to take back.
+func (g *grown) onReturn(f func(host string)) {
+	before := g.Opt.Tamper
+	g.Opt.Tamper = func(w *World, n *Node, e core.Effect) core.Effect {
+		if c, ok := e.(core.CloudCall); ok && c.Op == core.CloudReturn {
+			for _, h := range c.Hosts {
+				f(h)
+			}
 		}
+		return before(w, n, e)
 	}
 }
