Cut the longest functions of api, statestore and the simulation into handlers

One handler a path and a route table in place of a mux filled in 69 lines; encoding of calls to the state service apart from sending them; one function for each effect that the simulation carries out.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -39,82 +39,94 @@
 const (
 	submitWait = 4 * time.Second
 	pollWait   = 1800 * time.Millisecond
-	beatWait   = 3 * time.Second
+	reportWait = 3 * time.Second
 )
 
 // Handler serves all paths. Bodies that are longer than most requests take no
 // more than room bytes at a time: with a connection each, a thousand clients
 // could otherwise fill the memory of a small machine.
 func Handler(n Asker, room int64) http.Handler {
+	e := &edge{node: n}
+	e.bodies.room.Store(room)
 	mux := http.NewServeMux()
-	bodies := &bodies{}
-	bodies.room.Store(room)
-	mux.HandleFunc("/api/jobs", func(w http.ResponseWriter, r *http.Request) {
-		if !method(w, r, http.MethodPost) {
-			return
-		}
-		body, ok := bodies.read(w, r, maxBody)
-		if !ok {
-			return
-		}
-		job, err := ParseJob(body)
-		if err != nil {
-			send(w, 400, core.Problem{Error: err.Error()}, 0)
-			return
-		}
-		wall := time.Now().UnixMilli()
-		ask(w, n, submitWait, func(req uint64) core.Event { return core.Submit{Req: req, Job: *job, Wall: wall} })
-	})
-	mux.HandleFunc("/api/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
-		if !method(w, r, http.MethodGet) {
-			return
-		}
-		id := r.PathValue("id")
-		if !validID(id) {
-			send(w, 404, core.Problem{Error: "no such job"}, 0)
-			return
-		}
-		ask(w, n, pollWait, func(req uint64) core.Event { return core.Poll{Req: req, ID: id} })
-	})
-	mux.HandleFunc("/api/jobs/{id}/withdraw", func(w http.ResponseWriter, r *http.Request) {
-		if !method(w, r, http.MethodPost) {
-			return
-		}
-		id := r.PathValue("id")
-		if !validID(id) {
-			send(w, 404, core.Problem{Error: "no such job"}, 0)
-			return
-		}
-		ask(w, n, submitWait, func(req uint64) core.Event { return core.Withdraw{Req: req, ID: id} })
-	})
-	mux.HandleFunc("/agent/beat", func(w http.ResponseWriter, r *http.Request) {
-		if !method(w, r, http.MethodPost) {
-			return
-		}
-		// A worker's list may be long; it is bounded by what it runs.
-		body, ok := bodies.read(w, r, 16*maxBody)
-		if !ok {
-			return
-		}
-		var rep model.Report
-		if err := fast.Unmarshal(body, &rep); err != nil || rep.Host == "" {
-			send(w, 400, core.Problem{Error: "not a report"}, 0)
-			return
-		}
-		if n.Crowded() {
-			w.Header().Set("Connection", "close")
-		}
-		ask(refusals{w}, n, beatWait, func(req uint64) core.Event { return core.ReportIn{Req: req, Report: rep} })
-	})
-	mux.HandleFunc("/up", func(w http.ResponseWriter, r *http.Request) {
-		if !method(w, r, http.MethodGet) {
-			return
-		}
-		ask(w, n, pollWait, func(req uint64) core.Event { return core.Up{Req: req} })
-	})
+	for _, route := range []struct {
+		path, method string
+		serve        http.HandlerFunc
+	}{
+		{"/api/jobs", http.MethodPost, e.submit},
+		{"/api/jobs/{id}", http.MethodGet, e.poll},
+		{"/api/jobs/{id}/withdraw", http.MethodPost, e.withdraw},
+		{"/agent/beat", http.MethodPost, e.report},
+		{"/up", http.MethodGet, e.up},
+	} {
+		mux.HandleFunc(route.path, only(route.method, route.serve))
+	}
 	return mux
 }
 
+// edge turns requests into the core's events, and its replies into answers.
+type edge struct {
+	node   Asker
+	bodies bodies
+}
+
+func (e *edge) submit(w http.ResponseWriter, r *http.Request) {
+	body, ok := e.bodies.read(w, r, maxBody)
+	if !ok {
+		return
+	}
+	job, err := ParseJob(body)
+	if err != nil {
+		send(w, 400, core.Problem{Error: err.Error()}, 0)
+		return
+	}
+	wall := time.Now().UnixMilli()
+	ask(w, e.node, submitWait, func(req uint64) core.Event { return core.Submit{Req: req, Job: *job, Wall: wall} })
+}
+
+func (e *edge) poll(w http.ResponseWriter, r *http.Request) {
+	if id, ok := jobID(w, r); ok {
+		ask(w, e.node, pollWait, func(req uint64) core.Event { return core.Poll{Req: req, ID: id} })
+	}
+}
+
+func (e *edge) withdraw(w http.ResponseWriter, r *http.Request) {
+	if id, ok := jobID(w, r); ok {
+		ask(w, e.node, submitWait, func(req uint64) core.Event { return core.Withdraw{Req: req, ID: id} })
+	}
+}
+
+func (e *edge) report(w http.ResponseWriter, r *http.Request) {
+	// A worker's list may be long; it is bounded by what it runs.
+	body, ok := e.bodies.read(w, r, 16*maxBody)
+	if !ok {
+		return
+	}
+	var report model.Report
+	if err := fast.Unmarshal(body, &report); err != nil || report.Host == "" {
+		send(w, 400, core.Problem{Error: "not a report"}, 0)
+		return
+	}
+	if e.node.Crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	ask(refusals{w}, e.node, reportWait, func(req uint64) core.Event { return core.ReportIn{Req: req, Report: report} })
+}
+
+func (e *edge) up(w http.ResponseWriter, _ *http.Request) {
+	ask(w, e.node, pollWait, func(req uint64) core.Event { return core.Up{Req: req} })
+}
+
+// jobID is the job that a path names. One that no job can have is answered 404.
+func jobID(w http.ResponseWriter, r *http.Request) (string, bool) {
+	id := r.PathValue("id")
+	if !validID(id) {
+		send(w, 404, core.Problem{Error: "no such job"}, 0)
+		return "", false
+	}
+	return id, true
+}
+
 // refusals closes the connection of whoever isn't answered with 200: a worker
 // that is sent on has no use for it, and after a crash all workers of a large
 // fleet come by at every controller, whose sockets are few.
@@ -130,13 +142,16 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-func method(w http.ResponseWriter, r *http.Request, want string) bool {
-	if r.Method == want {
-		return true
+// only answers requests of any other method with 405.
+func only(method string, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != method {
+			w.Header().Set("Allow", method)
+			send(w, 405, core.Problem{Error: "method not allowed"}, 0)
+			return
+		}
+		serve(w, r)
 	}
-	w.Header().Set("Allow", want)
-	send(w, 405, core.Problem{Error: "method not allowed"}, 0)
-	return false
 }
 
 // bodies reads requests' bodies within bounds.
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -171,15 +171,8 @@
 	n.Step(ev)
 }
 
+// effect carries an effect of the core out.
 func (n *Node) effect(e core.Effect) {
-	w, life := n.w, n.life
-	alive := func(f func()) func() {
-		return func() {
-			if n.life == life && n.State != nil {
-				f()
-			}
-		}
-	}
 	switch e := e.(type) {
 	case core.Reply:
 		if f := n.asks[e.Req]; f != nil {
@@ -187,61 +180,103 @@
 			f(e)
 		}
 	case core.StoreCall:
-		w.send(n.Name, "state", func() {
-			w.Store.serve(n.Name, e, func(d core.StoreDone) {
-				w.send("state", n.Name, alive(func() { n.later(d) }))
-			})
-			w.repeat(func() { w.Store.serve(n.Name, e, func(core.StoreDone) {}) })
-		})
-		w.After(e.Timeout, alive(func() { n.later(core.StoreDone{Call: e.Call}) }))
+		n.callStore(e)
 	case core.CloudCall:
-		w.send(n.Name, "cloud", func() {
-			d := w.Cloud.serve(e)
-			w.repeat(func() { w.Cloud.serve(e) })
-			w.send("cloud", n.Name, alive(func() { n.later(d) }))
-		})
-		w.After(5*time.Second, alive(func() { n.later(core.CloudDone{Call: e.Call}) }))
+		n.callCloud(e)
 	case core.AgentCall:
-		if n.clock() >= e.Until {
-			n.later(core.AgentDone{Call: e.Call}) // as the edge: checked last
-			return
-		}
-		w.send(n.Name, e.Endpoint, func() {
-			wk := w.Workers[e.Endpoint]
-			if wk == nil {
-				return
-			}
-			if w.LateCommands > 0 && w.Rnd.Float64() < w.LateCommands {
-				late := 2*time.Second + time.Duration(w.Rnd.Int64N(int64(14*time.Second)))
-				w.After(late, func() { wk.commands(e, func(core.AgentDone) {}) })
-				return
-			}
-			wk.commands(e, func(d core.AgentDone) {
-				w.send(e.Endpoint, n.Name, alive(func() { n.later(d) }))
-			})
-			w.repeat(func() { wk.commands(e, func(core.AgentDone) {}) })
-		})
-		w.After(1500*time.Millisecond, alive(func() { n.later(core.AgentDone{Call: e.Call}) }))
+		n.callAgent(e)
 	case core.PeerOut:
-		for _, o := range w.Nodes {
-			if o.Name == e.To {
-				deliver := func() { o.Step(core.PeerIn{From: n.Name, Msg: e.Msg}) }
-				w.send(n.Name, e.To, deliver)
-				w.repeat(deliver)
-			}
-		}
+		n.sendToPeer(e)
 	case core.Log:
-		if w.Tell && e.Level >= 0 {
-			var b strings.Builder
-			fmt.Fprintf(&b, "%s: %s", n.Name, e.Text)
-			for i := 0; i+1 < len(e.Args); i += 2 {
-				fmt.Fprintf(&b, " %v=%v", e.Args[i], e.Args[i+1])
+		n.log(e)
+	}
+}
+
+// whileAlive makes functions that do nothing once this life of the process is over.
+func (n *Node) whileAlive() func(f func()) func() {
+	life := n.life
+	return func(f func()) func() {
+		return func() {
+			if n.life == life && n.State != nil {
+				f()
 			}
-			w.tell("%s", b.String())
 		}
 	}
 }
 
+func (n *Node) callStore(e core.StoreCall) {
+	w, alive := n.w, n.whileAlive()
+	w.send(n.Name, "state", func() {
+		w.Store.serve(n.Name, e, func(d core.StoreDone) {
+			w.send("state", n.Name, alive(func() { n.later(d) }))
+		})
+		w.repeat(func() { w.Store.serve(n.Name, e, func(core.StoreDone) {}) })
+	})
+	w.After(e.Timeout, alive(func() { n.later(core.StoreDone{Call: e.Call}) }))
+}
+
+// cloudTimeout and agentTimeout are for how long a controller waits for an answer.
+const (
+	cloudTimeout = 5 * time.Second
+	agentTimeout = 1500 * time.Millisecond
+)
+
+func (n *Node) callCloud(e core.CloudCall) {
+	w, alive := n.w, n.whileAlive()
+	w.send(n.Name, "cloud", func() {
+		d := w.Cloud.serve(e)
+		w.repeat(func() { w.Cloud.serve(e) })
+		w.send("cloud", n.Name, alive(func() { n.later(d) }))
+	})
+	w.After(cloudTimeout, alive(func() { n.later(core.CloudDone{Call: e.Call}) }))
+}
+
+func (n *Node) callAgent(e core.AgentCall) {
+	w, alive := n.w, n.whileAlive()
+	if n.clock() >= e.Until {
+		n.later(core.AgentDone{Call: e.Call}) // as the edge: checked last
+		return
+	}
+	w.send(n.Name, e.Endpoint, func() {
+		wk := w.Workers[e.Endpoint]
+		if wk == nil {
+			return
+		}
+		if w.LateCommands > 0 && w.Rnd.Float64() < w.LateCommands {
+			late := 2*time.Second + time.Duration(w.Rnd.Int64N(int64(14*time.Second)))
+			w.After(late, func() { wk.commands(e, func(core.AgentDone) {}) })
+			return
+		}
+		wk.commands(e, func(d core.AgentDone) {
+			w.send(e.Endpoint, n.Name, alive(func() { n.later(d) }))
+		})
+		w.repeat(func() { wk.commands(e, func(core.AgentDone) {}) })
+	})
+	w.After(agentTimeout, alive(func() { n.later(core.AgentDone{Call: e.Call}) }))
+}
+
+func (n *Node) sendToPeer(e core.PeerOut) {
+	for _, o := range n.w.Nodes {
+		if o.Name == e.To {
+			deliver := func() { o.Step(core.PeerIn{From: n.Name, Msg: e.Msg}) }
+			n.w.send(n.Name, e.To, deliver)
+			n.w.repeat(deliver)
+		}
+	}
+}
+
+func (n *Node) log(e core.Log) {
+	if !n.w.Tell || e.Level < 0 {
+		return
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s", n.Name, e.Text)
+	for i := 0; i+1 < len(e.Args); i += 2 {
+		fmt.Fprintf(&b, " %v=%v", e.Args[i], e.Args[i+1])
+	}
+	n.w.tell("%s", b.String())
+}
+
 // ask sends a request to the node and gives its reply to f.
 func (n *Node) ask(from string, make_ func(uint64) core.Event, f func(core.Reply)) {
 	w := n.w
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -85,51 +85,67 @@
 	return done
 }
 
-func (c *Client) exchange(ctx context.Context, call core.StoreCall) (int, *wireAnswer, error) {
-	method, path := http.MethodGet, ""
-	var body any
+// wireRequest is a call as HTTP carries it; body nil: none.
+type wireRequest struct {
+	method, path string
+	body         any
+}
+
+// encode says how a call goes out.
+func encode(call core.StoreCall) (wireRequest, error) {
 	switch call.Op {
 	case core.StoreList:
-		q := url.Values{"under": {call.Prefix}, "page": {strconv.Itoa(call.Limit)}}
+		query := url.Values{"under": {call.Prefix}, "page": {strconv.Itoa(call.Limit)}}
 		if call.From != "" {
-			q.Set("after", call.From)
+			query.Set("after", call.From)
 		}
-		path = "/keys?" + q.Encode()
+		return wireRequest{http.MethodGet, "/keys?" + query.Encode(), nil}, nil
 	case core.StoreWatch:
-		q := url.Values{"under": {call.Prefix}, "after": {strconv.FormatUint(call.After, 10)},
+		query := url.Values{"under": {call.Prefix}, "after": {strconv.FormatUint(call.After, 10)},
 			"blockMs": {strconv.FormatInt(call.Block.Milliseconds(), 10)}}
-		path = "/watch?" + q.Encode()
+		return wireRequest{http.MethodGet, "/watch?" + query.Encode(), nil}, nil
 	case core.StoreTxn:
-		t := wireTxn{Guards: []wireGuard{}, Then: []wireChange{}}
-		for _, g := range call.Guards {
-			t.Guards = append(t.Guards, wireGuard(g))
-		}
-		for _, ch := range call.Then {
-			if ch.Remove {
-				t.Then = append(t.Then, wireChange{Remove: ch.Key})
-			} else {
-				t.Then = append(t.Then, wireChange{Set: ch.Key, Value: ch.Value, Lease: ch.Lease})
-			}
-		}
-		method, path, body = http.MethodPost, "/multi", t
+		return wireRequest{http.MethodPost, "/multi", encodeTxn(call)}, nil
 	case core.StoreLease:
-		method, path, body = http.MethodPost, "/grants", map[string]int64{"lifeMs": call.Life.Milliseconds()}
+		return wireRequest{http.MethodPost, "/grants", map[string]int64{"lifeMs": call.Life.Milliseconds()}}, nil
 	case core.StoreRenew:
-		method, path = http.MethodPost, fmt.Sprintf("/grants/%d/touch", call.Lease)
+		return wireRequest{http.MethodPost, fmt.Sprintf("/grants/%d/touch", call.Lease), nil}, nil
 	case core.StoreRevoke:
-		method, path = http.MethodDelete, fmt.Sprintf("/grants/%d", call.Lease)
-	default:
-		return 0, nil, fmt.Errorf("unknown call %q", call.Op)
+		return wireRequest{http.MethodDelete, fmt.Sprintf("/grants/%d", call.Lease), nil}, nil
+	}
+	return wireRequest{}, fmt.Errorf("unknown call %q", call.Op)
+}
+
+func encodeTxn(call core.StoreCall) wireTxn {
+	t := wireTxn{Guards: []wireGuard{}, Then: []wireChange{}}
+	for _, g := range call.Guards {
+		t.Guards = append(t.Guards, wireGuard(g))
+	}
+	for _, ch := range call.Then {
+		if ch.Remove {
+			t.Then = append(t.Then, wireChange{Remove: ch.Key})
+		} else {
+			t.Then = append(t.Then, wireChange{Set: ch.Key, Value: ch.Value, Lease: ch.Lease})
+		}
+	}
+	return t
+}
+
+// exchange sends a call and reads its answer.
+func (c *Client) exchange(ctx context.Context, call core.StoreCall) (int, *wireAnswer, error) {
+	out, err := encode(call)
+	if err != nil {
+		return 0, nil, err
 	}
-	var rd io.Reader
-	if body != nil {
-		b, err := json.Marshal(body)
+	var body io.Reader
+	if out.body != nil {
+		b, err := json.Marshal(out.body)
 		if err != nil {
 			return 0, nil, fmt.Errorf("encode: %w", err)
 		}
-		rd = bytes.NewReader(b)
+		body = bytes.NewReader(b)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, rd)
+	req, err := http.NewRequestWithContext(ctx, out.method, "http://"+c.Addr+out.path, body)
 	if err != nil {
 		return 0, nil, fmt.Errorf("request: %w", err)
 	}
