--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -24,11 +24,11 @@
 // maxBody is the protocol's bound on a request body.
 const maxBody = 64 << 10
 
-// Asker hands an event to the node, says so by calling handed, and waits for
+// Asker hands an event to the node, says so by calling accepted, and waits for
 // the reply until the time given. The event is made from the number that the
 // reply will carry. False: no reply in time.
 type Asker interface {
-	Ask(make func(req uint64) core.Event, until time.Duration, handed func()) (core.Reply, bool)
+	Ask(make func(req uint64) core.Event, until time.Duration, accepted func()) (core.Reply, bool)
 	Now() time.Duration
 	// Crowded says that sockets are running out.
 	Crowded() bool
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -62,8 +62,8 @@
 	full  bool // few sockets are left
 }
 
-func (f *fake) Ask(make func(uint64) core.Event, _ time.Duration, handed func()) (core.Reply, bool) {
-	handed()
+func (f *fake) Ask(make func(uint64) core.Event, _ time.Duration, accepted func()) (core.Reply, bool) {
+	accepted()
 	f.last = make(1)
 	return f.reply, f.ok
 }
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -75,7 +75,7 @@
 	case !m.adopted:
 		// Once it has reported in this term, its next report shows the
 		// epoch, at once.
-		return m.rostered && !m.lapsed && (m.told == 0 || s.now-m.heard > s.cfg.ReportEvery)
+		return m.rostered && !m.lapsed && (m.answeredEpoch == 0 || s.now-m.heard > s.cfg.ReportEvery)
 	}
 	return s.now-m.heard > 2*s.cfg.ReportEvery || m.reach.lost && m.seen < m.reach.epoch
 }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -20,7 +20,7 @@
 	s.apply(Item{Key: dirJobs + "req-000001", Value: raw(jobValue{Spec: &model.Job{ID: "req-000001", Team: "t", Tasks: 3, Kind: model.Batch}}), Stamp: 5})
 	m := s.machine("n-1")
 	m.endpoint, m.session, m.seq, m.adopted, m.rostered, m.up = "e", 1, 10, true, true, true
-	m.least = s.epochBase()
+	m.minEpoch = s.epochBase()
 	return s, s.jobs["req-000001"], m
 }
 
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -36,7 +36,7 @@
 	return s.leadership != nil && s.ready && s.leadership.Entitled(s.now)
 }
 
-// term of the leader's keys: attempts, hires and epochs are built from it, so
+// term of the leader's keys: attempts, rental requests and epochs are built from it, so
 // that none is ever used twice. All stay below 2^53.
 const (
 	fenceBits   = 20
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -22,7 +22,7 @@
 
 	session, seq uint64
 	seen         uint64 // highest epoch that it has shown
-	least        uint64 // a report that shows a lower epoch is no news
+	minEpoch     uint64 // a report that shows a lower epoch is no news
 	fence        uint64 // low bits of the epoch in use
 
 	up       bool // has reported, in this term
@@ -57,11 +57,11 @@
 	tasks   map[string]*task
 	orphans map[string]model.TaskReport
 
-	proof   *pendingReport // a report that waits for the machine's own word
-	reach   reachability
-	told    uint64 // epoch of the last answer to a report, and that report
-	toldSeq uint64
-	toldAt  time.Duration // of that answer
+	proof         *pendingReport // a report that waits for the machine's own word
+	reach         reachability
+	answeredEpoch uint64        // of the last answer to a report
+	answeredSeq   uint64        // that report
+	answeredAt    time.Duration // when it was answered
 
 	askedAt time.Duration // when its word was last asked for
 	// askedInVain: a direct command had no answer in this term.
@@ -131,7 +131,7 @@
 	m.tasks = map[string]*task{}
 	m.orphans = map[string]model.TaskReport{}
 	m.session, m.seq, m.fence, m.doubt, m.directAt, m.recallAt = 0, 0, 0, 0, 0, 0
-	m.told, m.toldSeq, m.toldAt, m.least, m.askedAt, m.askedInVain = 0, 0, 0, 0, 0, false
+	m.answeredEpoch, m.answeredSeq, m.answeredAt, m.minEpoch, m.askedAt, m.askedInVain = 0, 0, 0, 0, 0, false
 	m.reservedFor, m.slow, m.slowSigns = nil, false, 0
 	m.proof, m.reach = nil, reachability{}
 	// What this leader meant to write may never have been written. A leader elected
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -31,7 +31,7 @@
 		return
 	}
 	m := h.m
-	m.told, m.toldSeq, m.toldAt = s.epoch(m), max(m.toldSeq, h.r.Seq), s.now
+	m.answeredEpoch, m.answeredSeq, m.answeredAt = s.epoch(m), max(m.answeredSeq, h.r.Seq), s.now
 	s.renewLease(h, s.orders(m, h.r))
 }
 
--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -31,13 +31,13 @@
 // checkDelivery looks for signs of our answers in a machine's own report.
 func (s *State) checkDelivery(m *machine, r *model.Report) {
 	switch {
-	case m.reach.lost || m.toldSeq == 0 || r.Seq <= m.toldSeq:
+	case m.reach.lost || m.answeredSeq == 0 || r.Seq <= m.answeredSeq:
 		// Known, or not answered in this session yet.
-	case s.now-m.toldAt < s.cfg.ReportEvery/3:
+	case s.now-m.answeredAt < s.cfg.ReportEvery/3:
 		// Too soon after our answer to have been sent in its knowledge: a late copy.
 		// Several that came at once to a new leader had sound machines marked, and
 		// what ran there lost its leases.
-	case r.Epoch >= m.told && !s.unstarted(m, r):
+	case r.Epoch >= m.answeredEpoch && !s.unstarted(m, r):
 		m.reach.signs = 0
 	default:
 		s.countMissedDelivery(m)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -55,7 +55,7 @@
 func (s *State) sortReport(h pendingReport) {
 	m, r := h.m, h.r
 	switch {
-	case r.Epoch < m.least && (r.Session != m.session || r.Seq > m.seq):
+	case r.Epoch < m.minEpoch && (r.Session != m.session || r.Seq > m.seq):
 		// A worker's epoch only grows: this is from before it began anew, or it
 		// has just done so and nobody knows yet.
 		s.notNews(h, "report is from another life of this machine")
@@ -123,7 +123,7 @@
 func (s *State) begunAnew(m *machine, r *model.Report) {
 	s.log(slog.LevelInfo, "machine has begun anew", "host", m.host, "session", r.Session, "term", s.leadership.Term)
 	m.session, m.seq, m.seen = r.Session, 0, 0
-	m.told, m.toldSeq, m.reach, m.adopted = 0, 0, reachability{}, false
+	m.answeredEpoch, m.answeredSeq, m.reach, m.adopted = 0, 0, reachability{}, false
 	m.lapsed, m.lastReplyAt = false, s.now // its new life has a lease of its own
 	for _, t := range m.tasks {
 		// Answers to reports of the former life died with its connections.
@@ -132,7 +132,7 @@
 	// Copies from the former life may show the same session and more reports:
 	// from now on only the epoch tells them from news.
 	s.raiseFence(m)
-	m.least = s.epoch(m)
+	m.minEpoch = s.epoch(m)
 }
 
 // prove asks a machine that hasn't been heard of for a while, or never, before
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -170,7 +170,7 @@
 	s.cloudTick()
 	s.shareCounts()
 	if s.now >= s.idleRound && s.waiting() {
-		// Time alone can make a task ripe or end its wait in a local queue.
+		// Time alone can make a task schedulable or end its wait in a local queue.
 		s.idleRound = s.now + s.cfg.ReportEvery/6
 		s.dirty = true
 	}
--- a/internal/core/tasklist.go
+++ b/internal/core/tasklist.go
@@ -19,9 +19,9 @@
 	m.heard = s.now
 	m.seq, m.seen = r.Seq, max(m.seen, r.Epoch)
 	m.up = true
-	m.least = max(m.least, r.Epoch)
+	m.minEpoch = max(m.minEpoch, r.Epoch)
 	s.confirmDelivery(m, r)
-	if r.Epoch >= max(s.epochBase(), m.least) && !m.adopted && !m.lapsed {
+	if r.Epoch >= max(s.epochBase(), m.minEpoch) && !m.adopted && !m.lapsed {
 		m.adopted = true
 		s.dirty = true
 		s.log(slog.LevelDebug, "machine adopted", "host", m.host, "term", s.leadership.Term, "tasks", len(r.Tasks))
@@ -54,7 +54,7 @@
 // sessionBegun takes that a machine's worker has begun a new session: its lease
 // had run out, and it killed all it had.
 func (s *State) sessionBegun(m *machine, r *model.Report) {
-	if m.toldSeq != 0 && !m.lapsed && s.now-m.lastReplyAt < s.cfg.Lease/2 {
+	if m.answeredSeq != 0 && !m.lapsed && s.now-m.lastReplyAt < s.cfg.Lease/2 {
 		s.markUnreachable(m, "its lease ran out though it was answered")
 	}
 	for _, name := range ordered(m.tasks) {
@@ -65,7 +65,7 @@
 	}
 	// The new session has a lease of its own, which began before now.
 	m.lapsed, m.lastReplyAt = false, s.now
-	m.session, m.toldSeq = r.Session, 0
+	m.session, m.answeredSeq = r.Session, 0
 }
 
 // takeRecall takes the cloud's notice that it will take the machine.
--- a/internal/core/transfer.go
+++ b/internal/core/transfer.go
@@ -41,7 +41,7 @@
 		return
 	}
 	for _, m := range s.order {
-		if m.rostered && !m.up && m.told == 0 {
+		if m.rostered && !m.up && m.answeredEpoch == 0 {
 			m.lastReplyAt = min(m.lastReplyAt, s.lastAnswered(m))
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,11 +262,11 @@
 }
 
 // Ask implements api.Asker.
-func (n *Node) Ask(make_ func(uint64) core.Event, until time.Duration, handed func()) (core.Reply, bool) {
+func (n *Node) Ask(make_ func(uint64) core.Event, until time.Duration, accepted func()) (core.Reply, bool) {
 	id := n.nextID.Add(1)
 	q := question{id: id, event: make_(id), until: until, reply: make(chan core.Reply, 1)}
 	n.questions <- q
-	handed()
+	accepted()
 	r := <-q.reply
 	return r, r.Status != 0
 }
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -14,7 +14,7 @@
 	w        *World
 	Out      bool
 	next     int
-	hires    map[string][]string
+	rentals  map[string][]string
 	machines map[string]*rented
 	// Slow multiplies boot times, 0 means 1.
 	Slow float64
@@ -37,7 +37,7 @@
 	case core.CloudTypes:
 		d.Types = c.w.Opt.Types
 	case core.CloudRent:
-		if old, ok := c.hires[call.Request]; ok {
+		if old, ok := c.rentals[call.Request]; ok {
 			d.Hosts = old
 			return d
 		}
@@ -46,7 +46,7 @@
 			d.Status, d.Err = 503, "no capacity"
 			return d
 		}
-		c.hires[call.Request] = d.Hosts
+		c.rentals[call.Request] = d.Hosts
 	case core.CloudReturn:
 		for _, h := range call.Hosts {
 			c.Take(h)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -108,7 +108,7 @@
 	w := &World{Opt: opt, Rnd: rand.New(rand.NewPCG(opt.Seed, 7)), Workers: map[string]*Worker{}, links: map[[2]string]*link{}}
 	w.Check = &Checker{w: w, jobs: map[string]*truth{}}
 	w.Store = newStore(w)
-	w.Cloud = &Cloud{w: w, hires: map[string][]string{}, machines: map[string]*rented{}}
+	w.Cloud = &Cloud{w: w, rentals: map[string][]string{}, machines: map[string]*rented{}}
 	w.Users = &Users{w: w}
 	w.Old = map[string]bool{}
 	for i := 0; i < opt.Nodes; i++ {
