--- a/internal/sim/random_test.go
+++ b/internal/sim/random_test.go
@@ -53,24 +53,6 @@
 	}
 }
 
-// isolateLeader cuts the leader from state service and peers, not from its workers.
-func (d *randomDay) isolateLeader(length time.Duration) {
-	l := d.Leader()
-	if l == nil {
-		return
-	}
-	others := []string{"state"}
-	for _, n := range d.Nodes {
-		if n != l {
-			others = append(others, n.Name)
-		}
-	}
-	for _, o := range others {
-		d.Cut(l.Name, o, "hold")
-		d.After(length, func() { d.Heal(l.Name, o) })
-	}
-}
-
 // randomTroubles are those of which each day draws some.
 var randomTroubles = []struct {
 	name  string
@@ -106,7 +88,11 @@
 	{"the leader is refused", func(d *randomDay, from, length time.Duration) { d.At(from, func() { d.refuseLeader(length) }) }},
 	{"outage", func(d *randomDay, from, length time.Duration) { d.outage(from, from+length) }},
 	{"the leader keeps only its workers", func(d *randomDay, from, length time.Duration) {
-		d.At(from, func() { d.isolateLeader(length) })
+		d.At(from, func() {
+			if l := d.Leader(); l != nil {
+				alone(d.World, l, length)
+			}
+		})
 	}},
 	{"machines hang", func(d *randomDay, from, length time.Duration) {
 		d.some(from, length, func(wk *Worker) {
