Review, case 1: show the double run with machines that hang and are reset

Change: the case needs no held-up commands any more; three machines hang within their lease and are reset.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 )
@@ -30,9 +29,9 @@
 		Build: "img-01", PullGB: 1.5, GuessS: run.Seconds(), run: run}
 }
 
-// playRestart: a machine stops and is back at once while a start is on its way to it, and
-// direct commands are held up.
-func playRestart(w *world, trouble bool) (bool, error) {
+// playReset: three machines hang for a part of their lease. Then they are reset: they stop
+// with all that is on them and are back at once.
+func playReset(w *world, trouble bool) (bool, error) {
 	w.addMachines(8, 6, 8)
 	if err := w.start(); err != nil {
 		return false, err
@@ -51,55 +50,48 @@
 	}); err != nil {
 		return false, err
 	}
-	for w.rec.now() < 55*time.Second {
-		time.Sleep(100 * time.Millisecond)
-	}
 	const id = "req-000002"
-	if trouble {
-		w.holdCommands(id+"/0", 25*time.Second)
-	}
-	if !w.users.submit(w.batch(id, 1, 50*time.Second)) {
+	if !w.users.submit(w.batch(id, 12, 90*time.Second)) {
 		return false, errors.New("the job is not accepted")
 	}
-	for until := time.Now().Add(40 * time.Second); time.Now().Before(until) && !w.check.isBroken("ran_twice"); {
-		time.Sleep(100 * time.Millisecond)
+	if err := w.await("all tasks of the job run", 15*time.Second, func() bool { return w.check.countRunning(id) == 12 }); err != nil {
+		return false, err
 	}
-	if w.check.startsOf(id) == 0 {
-		return false, errors.New("the task never started")
+	for w.rec.now() < 40*time.Second {
+		time.Sleep(100 * time.Millisecond)
 	}
-	return w.check.isBroken("ran_twice"), nil
-}
-
-// holdCommands waits for the direct command that starts the given task, and holds it up for
-// 2.2 s. Half a second after it was sent, its machine stops and is back at once. For d, all
-// direct commands to this one machine are held up, from 2 to 16 s each, without an answer.
-func (w *world) holdCommands(piece string, d time.Duration) {
-	w.cloud.mu.Lock()
-	defer w.cloud.mu.Unlock()
-	var mu sync.Mutex
-	var chosen *worker
-	var until time.Time
-	for _, m := range w.cloud.machines {
-		wk := m.worker
-		if wk == nil {
-			continue
+	if trouble {
+		hosts := map[string]bool{}
+		for i := range 12 {
+			hosts[w.check.machineOf(fmt.Sprintf("%s/%d", id, i))] = true
 		}
-		wk.mu.Lock()
-		wk.lateCommand = func(body string) time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case chosen == nil && strings.Contains(body, fmt.Sprintf("%q", piece)):
-				chosen, until = wk, time.Now().Add(d)
-				time.AfterFunc(500*time.Millisecond, wk.restart)
-				return 2200 * time.Millisecond
-			case chosen == wk && time.Now().Before(until):
-				return 2*time.Second + time.Duration(w.rand(14000))*time.Millisecond
+		var ended sync.WaitGroup
+		for host := range hosts {
+			if wk := w.cloud.workerOf(host); wk != nil && w.resets < 3 {
+				third := w.resets
+				w.resets++
+				ended.Go(func() { w.hangAndReset(wk, third) })
 			}
-			return 0
 		}
-		wk.mu.Unlock()
+		ended.Wait()
+	}
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until) && !w.check.isBroken("ran_twice"); {
+		time.Sleep(100 * time.Millisecond)
 	}
+	return w.check.isBroken("ran_twice"), nil
+}
+
+// hangAndReset makes a machine hang just after a report was answered, and resets it between
+// 14.5 and 15.5 s later, at another third of a second than the other machines.
+func (w *world) hangAndReset(wk *worker, third int) {
+	for answered := wk.answeredReports(); wk.answeredReports() == answered; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	wk.hang()
+	at := w.rec.now() + 14500*time.Millisecond
+	at += (time.Duration(third)*time.Second/3 - at%time.Second + time.Second) % time.Second
+	time.Sleep(at - w.rec.now())
+	wk.reset()
 }
 
 // playWeightless: a user submits a job by mistake whose task takes nothing of its machine.
@@ -161,3 +153,52 @@
 	}
 	return false
 }
+
+// playGuarantee: a guest team without a guarantee fills all machines with urgent services.
+// Then a job of low priority arrives that fits into the guarantee of its team.
+func playGuarantee(w *world, trouble bool) (bool, error) {
+	w.site.teams = []team{{name: w.site.team, cpus: 16}, {name: "choeurs-invites"}}
+	w.addMachines(10, 10, 10) // all ordinary machines that the cloud has
+	if err := w.start(); err != nil {
+		return false, err
+	}
+	if err := w.awaitLeader(); err != nil {
+		return false, err
+	}
+	// Each service takes a machine. Without the disruption, two machines stay empty.
+	services := 30
+	if !trouble {
+		services = 28
+	}
+	for i := range services {
+		s := w.batch(fmt.Sprintf("req-%06d", 100+i), 2, 0)
+		s.Lane, s.Owner, s.Shape, s.Rank, s.CPUs, s.MemoryGB, s.GuessS = "apercu-invites", "choeurs-invites", "service", "prod", 2, 8.5, 0
+		if !w.users.submit(s) {
+			return false, fmt.Errorf("%s is not accepted", s.ID)
+		}
+	}
+	if err := w.await("all services run", 30*time.Second, func() bool {
+		for i := range services {
+			if w.check.countRunning(fmt.Sprintf("req-%06d", 100+i)) < 2 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return false, err
+	}
+	const id = "req-000001"
+	guaranteed := w.batch(id, 2, 10*time.Second)
+	guaranteed.Lane, guaranteed.Rank, guaranteed.CPUs, guaranteed.MemoryGB = "vignettes", "low", 4, 23
+	if !w.users.submit(guaranteed) {
+		return false, errors.New("the job is not accepted")
+	}
+	for until := w.rec.now() + 90*time.Second; w.rec.now() < until; time.Sleep(3 * time.Second) {
+		if _, s := w.users.poll(nil, id); s.Phase == "done" {
+			return false, nil
+		}
+	}
+	w.check.breakRule("guarantee", fmt.Sprintf("%s, which fits into its team's guarantee, is not done after 90 s; its tasks were started %d times, those of the other team %d times",
+		id, w.check.startsOf(id), w.check.startsOf("req-0001")))
+	return true, nil
+}
--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -62,6 +62,16 @@
 	c.done[piece] = true
 }
 
+// machineOf returns a machine on which a task is, or "".
+func (c *checker) machineOf(piece string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for host := range c.runs[piece] {
+		return host
+	}
+	return ""
+}
+
 // countRunning counts the tasks of a job that are on machines.
 func (c *checker) countRunning(id string) int {
 	c.mu.Lock()
@@ -75,13 +85,13 @@
 	return n
 }
 
-// startsOf counts the starts of a job's tasks.
+// startsOf counts the starts of the tasks of the jobs whose ids begin so.
 func (c *checker) startsOf(id string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for piece, k := range c.starts {
-		if strings.HasPrefix(piece, id+"/") {
+		if strings.HasPrefix(piece, id) {
 			n += k
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,9 @@
 	site func() *site
 	play func(w *world, trouble bool) (bool, error)
 }{
-	"restart":    {kerbrat, playRestart},
+	"reset":      {kerbrat, playReset},
 	"weightless": {naipe, playWeightless},
+	"guarantee":  {kerbrat, playGuarantee},
 	"search":     {kerbrat, playSearch},
 }
 
--- a/review/standin/search.go
+++ b/review/standin/search.go
@@ -159,7 +159,8 @@
 		case 4:
 			for range 1 + w.rand(4) {
 				if wk := w.cloud.workerOf(fmt.Sprintf("n-%06d", 1+w.rand(15))); wk != nil {
-					wk.pause(time.Duration(1000+w.rand(25000)) * time.Millisecond)
+					wk.hang()
+					time.AfterFunc(time.Duration(1000+w.rand(25000))*time.Millisecond, wk.resume)
 				}
 			}
 		case 5:
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -33,11 +33,9 @@
 	changed   bool
 	epochAt   time.Time
 
-	// lateCommand, if set, says how late the direct command with this body is carried out (0:
-	// at once). A late command
-	// gets no answer.
-	lateCommand func(body string) time.Duration
-	paused      bool
+	paused   bool
+	hungAt   time.Time
+	answered int // reports answered with 200
 }
 
 // run is one attempt of a task on a machine.
@@ -109,36 +107,47 @@
 	wk.tasks = map[string]*run{}
 }
 
-// restart stops the machine with all that is on it and brings it back at once, under the
-// same name and address. Its worker starts anew: session 1, no token seen.
-func (wk *worker) restart() {
+// hang makes the machine hang: it runs nothing and answers nothing until reset or resume.
+func (wk *worker) hang() {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
-	wk.world.rec.sayf("TROUBLE %s stops with all that is on it, and is back (its tick was %d)", wk.machine.id, wk.tick)
-	wk.killAll("machine restarts")
+	wk.paused, wk.hungAt = true, time.Now()
+	wk.world.rec.sayf("TROUBLE %s hangs (tick %d)", wk.machine.id, wk.tick)
+}
+
+// reset stops the machine with all that is on it and brings it back at once, under the
+// same name and address. Its worker starts anew: session 1, no token seen. What was sent to
+// it before is lost.
+func (wk *worker) reset() {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.expire()
+	wk.world.rec.sayf("TROUBLE %s stops with all that is on it, and is back at once", wk.machine.id)
+	wk.killAll("machine reset")
 	wk.life++
+	wk.paused = false
 	wk.tenure, wk.tick, wk.epoch, wk.leaseFrom, wk.changed, wk.epochAt = 1, 0, 0, time.Now(), true, time.Time{}
 }
 
-// pause makes the machine hang for d: it runs nothing and answers nothing.
-func (wk *worker) pause(d time.Duration) {
+// resume makes a hanging machine go on.
+func (wk *worker) resume() {
 	wk.mu.Lock()
-	wk.paused = true
-	wk.world.rec.sayf("TROUBLE %s hangs for %v", wk.machine.id, d)
-	from := time.Now()
-	wk.mu.Unlock()
-	time.AfterFunc(d, func() {
-		wk.mu.Lock()
-		defer wk.mu.Unlock()
-		wk.paused = false
-		for _, r := range wk.tasks {
-			if !r.ends.IsZero() {
-				r.ends = r.ends.Add(time.Since(from))
-			}
+	defer wk.mu.Unlock()
+	wk.paused = false
+	for _, r := range wk.tasks {
+		if !r.ends.IsZero() {
+			r.ends = r.ends.Add(time.Since(wk.hungAt))
 		}
-		wk.expire()
-		wk.world.rec.sayf("TROUBLE %s goes on", wk.machine.id)
-	})
+	}
+	wk.expire()
+	wk.world.rec.sayf("TROUBLE %s goes on", wk.machine.id)
+}
+
+// answeredReports is how many reports were answered with 200.
+func (wk *worker) answeredReports() int {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return wk.answered
 }
 
 // live advances the tasks and ends the lease.
@@ -331,22 +340,19 @@
 		return status, wk.nextReport()
 	}
 	wk.mu.Lock()
-	late := wk.lateCommand
+	life := wk.life
 	wk.mu.Unlock()
-	if late != nil {
-		if d := late(string(body)); d > 0 {
-			wk.world.rec.logf("TROUBLE command to %s held up for %v, unanswered (token %d, session %d): %.200s", wk.machine.id, d, *c.Epoch, *c.Tenure, body)
-			time.AfterFunc(d, func() {
-				status, _ := carryOut()
-				wk.world.rec.logf("%s: late command: %d", wk.machine.id, status)
-			})
-			<-r.Context().Done() // no answer
-			panic(http.ErrAbortHandler)
-		}
-	}
 	for wk.hangs() {
 		time.Sleep(20 * time.Millisecond)
 	}
+	wk.mu.Lock()
+	lost := wk.life != life
+	wk.mu.Unlock()
+	if lost {
+		wk.world.rec.logf("%s: a command from before the reset is lost", wk.machine.id)
+		<-r.Context().Done() // the sender hears nothing
+		panic(http.ErrAbortHandler)
+	}
 	status, rep := carryOut()
 	wk.world.rec.logf("%s: command token %d session %d with %d orders: %d", wk.machine.id, *c.Epoch, *c.Tenure, len(c.Orders), status)
 	answer(w, status, rep)
@@ -361,6 +367,7 @@
 // reportLoop sends the reports.
 func (wk *worker) reportLoop() {
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	<-wk.world.ready
 	wk.target = wk.world.rand(len(wk.world.nodes))
 	var last time.Time
 	for {
@@ -455,5 +462,6 @@
 	}
 	wk.raise(a.Epoch)
 	wk.leaseFrom = sentAt
+	wk.answered++
 	wk.execute(a.Orders, "answer")
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -33,12 +33,18 @@
 	ramMB          float64
 	fdLimit        int
 	team           string
-	cpusMax        float64 // the team's limit; 0: none
+	teams          []team // nil: only the team above, without a guarantee and a limit
 	types          []machineType
 	capacity       int // machines of one type, zone and kind
 	restartDelay   time.Duration
 }
 
+// team is a team with its guarantee and its limit; 0 means none.
+type team struct {
+	name          string
+	cpus, cpusMax float64
+}
+
 func (s *site) lease() time.Duration  { return time.Duration(s.leaseS * float64(time.Second)) }
 func (s *site) cancel() time.Duration { return time.Duration(s.cancelS * float64(time.Second)) }
 
@@ -71,6 +77,9 @@
 	users *users
 	check *checker
 	nodes []*node
+	ready chan struct{} // closed when the nodes are known
+
+	resets int // machines that were chosen to be reset
 
 	randMu sync.Mutex
 	random *rand.Rand
@@ -116,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{site: s, rec: rec, dir: dir, random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}
+	w := &world{site: s, rec: rec, dir: dir, ready: make(chan struct{}), random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}
 	w.state, w.cloud = newStateService(s, rec), newCloud(w)
 	w.check = newChecker(w)
 	w.users = newUsers(w)
@@ -155,6 +164,14 @@
 		n.settings = filepath.Join(w.dir, n.name+".json")
 		w.nodes = append(w.nodes, n)
 	}
+	close(w.ready)
+	if w.site.teams == nil {
+		w.site.teams = []team{{name: w.site.team}}
+	}
+	teams := []map[string]any{}
+	for _, t := range w.site.teams {
+		teams = append(teams, map[string]any{"name": t.name, "cpus": t.cpus, "cpus_max": t.cpusMax, "gpus": 0.0, "gpus_max": 0.0})
+	}
 	for i, n := range w.nodes {
 		stateAddr, err := w.state.serveNode(n.name)
 		if err != nil {
@@ -171,7 +188,7 @@
 			"endpoints": map[string]string{"cloud": cloudAddr, "state": stateAddr},
 			"facts": map[string]any{
 				"count": 3, "zones": w.site.zones,
-				"teams":      []map[string]any{{"name": w.site.team, "cpus": 0.0, "cpus_max": w.site.cpusMax, "gpus": 0.0, "gpus_max": 0.0}},
+				"teams":      teams,
 				"objectives": []map[string]any{},
 				"workers":    map[string]any{"report_s": w.site.reportS, "lease_s": w.site.leaseS, "gang_wait_s": 40.0, "gang_peer_s": 5.0, "cancel_s": w.site.cancelS},
 				"state":      map[string]any{"rps": w.site.stateRPS, "write_rps": w.site.stateWriteRPS, "value_kb": w.site.valueKB, "txn_ops": w.site.txnOps},
