--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,10 +15,12 @@
 	site func() *site
 	play func(w *world, trouble bool) (bool, error)
 }{
-	"reset":      {kerbrat, playReset},
-	"weightless": {naipe, playWeightless},
-	"guarantee":  {kerbrat, playGuarantee},
-	"search":     {kerbrat, playSearch},
+	"reset":        {kerbrat, playReset},
+	"weightless":   {naipe, playWeightless},
+	"guarantee":    {kerbrat, playGuarantee},
+	"search":       {kerbrat, playSearch},
+	"search-naipe": {naipe, playSearch},
+	"gap":          {kerbrat, playGap},
 }
 
 // timeLimit bounds a run.
--- a/review/standin/search.go
+++ b/review/standin/search.go
@@ -186,3 +186,60 @@
 	defer w.check.mu.Unlock()
 	return len(w.check.broken) > 0, nil
 }
+
+// playGap plays the meeting that issue 24 is about: jobs are cancelled at the moment at which
+// the state service refuses the leader alone, and a second later it is out for all for
+// longer than cancel_s. It is no case, but a try of that entry.
+func playGap(w *world, trouble bool) (bool, error) {
+	w.addMachines(8, 6, 8)
+	if err := w.start(); err != nil {
+		return false, err
+	}
+	if err := w.awaitLeader(); err != nil {
+		return false, err
+	}
+	var jobs []*watched
+	for i := range 16 {
+		x := &watched{job: w.batch(fmt.Sprintf("req-%06d", 1+i), 4, 10*time.Minute), accepted: true, cancelAsked: true}
+		if !w.users.submit(x.job) {
+			return false, fmt.Errorf("%s is not accepted", x.job.ID)
+		}
+		jobs = append(jobs, x)
+	}
+	for w.rec.now() < 25*time.Second {
+		time.Sleep(100 * time.Millisecond)
+	}
+	leader := w.leader()
+	if leader == nil {
+		return false, fmt.Errorf("no leader")
+	}
+	if trouble {
+		w.state.refuse(leader.name, true)
+		if w.rand(2) == 0 {
+			w.cloud.workerOf(w.check.machineOf(jobs[0].job.ID + "/0")).hang()
+		}
+	}
+	for i, x := range jobs[:12] {
+		n := w.nodes[i%3]
+		if n == leader {
+			n = w.nodes[(i+1)%3]
+		}
+		go func() {
+			sentAt := w.rec.now()
+			if phase := w.users.withdraw(n, x.job.ID); phase != "" {
+				x.hear(w, sentAt, 200, status{Phase: phase})
+			}
+		}()
+	}
+	if trouble {
+		time.Sleep(time.Duration(300+w.rand(1200)) * time.Millisecond)
+		w.state.setOutage(true)
+		if w.rand(2) == 0 {
+			time.AfterFunc(time.Duration(w.rand(12))*time.Second, func() { w.nodes[w.rand(3)].signal(syscall.SIGKILL) })
+		}
+	}
+	for until := w.rec.now() + w.site.cancel() + 12*time.Second; w.rec.now() < until; {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return w.check.isBroken("ran_cancelled"), nil
+}
