--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -308,6 +308,28 @@
 	wk.tasks[o.Piece] = next
 }
 
+// hasRoom says whether a task of a job fits beside all tasks that are on the machine.
+func (wk *worker) hasRoom(j *job) bool {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	cpus, memory := wk.flavor.CPUs, wk.flavor.MemoryGB
+	for piece, other := range wk.tasks {
+		if other.phase != "exited" {
+			k := wk.world.users.jobOf(piece)
+			cpus, memory = cpus-k.CPUs, memory-k.MemoryGB
+		}
+	}
+	return !wk.stopped && j.CPUs <= cpus+1e-6 && j.MemoryGB <= memory+1e-6
+}
+
+// holds says whether a task is on the machine, running, fetching or saving.
+func (wk *worker) holds(piece string) bool {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	t := wk.tasks[piece]
+	return t != nil && t.phase != "exited"
+}
+
 // serve answers direct commands.
 func (wk *worker) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
