Bound the memory of waiting tasks by what can be rented and placed

Twelve waiting arrays of 100,000 tasks ended each leader for memory within seconds of its election, one after the other, as long as they waited.

Cause: once a second the plan of rentals kept an entry for each machine that the waiting tasks would need, 1.2 million in that case, though a request is for 50 machines at most. Each later job went over all of them. The bitmap of finished tasks took 12.5 KB for each such array before any task had finished.

Change: the plan keeps at most 50 machines of each offer and counts the others by a division. A bitmap has the words up to the last finished task only.

--- a/internal/core/bitmap.go
+++ b/internal/core/bitmap.go
@@ -24,6 +24,38 @@
 	From int    `json:"from,omitempty"` // index in the chunk of the part's first byte
 }
 
+// bitmap is a set of task indexes, 64 in each word. It has only the words up to its highest
+// index: an array of which no task has finished takes no memory for it, however many tasks wait.
+type bitmap []uint64
+
+// wordsFor returns how many words hold the indexes of a number of tasks.
+func wordsFor(tasks int) int { return (tasks + 63) / 64 }
+
+// has reports whether index i is in the set.
+func (b bitmap) has(i int) bool { return i/64 < len(b) && b[i/64]&(1<<(i%64)) != 0 }
+
+// merge adds the indexes in a word and returns how many of them are new.
+func (b *bitmap) merge(wordIndex int, word uint64) int {
+	if word == 0 {
+		return 0
+	}
+	if missing := wordIndex + 1 - len(*b); missing > 0 {
+		*b = append(*b, make([]uint64, missing)...)
+	}
+	added := word &^ (*b)[wordIndex]
+	(*b)[wordIndex] |= word
+	return bits.OnesCount64(added)
+}
+
+// section returns a copy of a number of words from a word on; those beyond the last are 0.
+func (b bitmap) section(from, words int) []uint64 {
+	section := make([]uint64, words)
+	if from < len(b) {
+		copy(section, b[from:])
+	}
+	return section
+}
+
 // chunk is a section of a job's bitmap of finished tasks. Each chunk has keys of its own,
 // since the bitmap of a large job may exceed the state service's limit on the size of a
 // value. For the same reason a chunk may be stored in several parts, each under one key.
@@ -63,14 +95,12 @@
 	for i := range part {
 		offset := value.From + i
 		wordIndex := number*chunkWords + offset/8
-		if wordIndex >= len(j.doneBits) || offset/8 >= len(target.durableBits) {
+		if wordIndex >= wordsFor(j.Tasks) || offset/8 >= len(target.durableBits) {
 			break
 		}
 		word := uint64(part[i]) << (8 * (offset % 8))
 		target.durableBits[offset/8] |= word
-		newBits := word &^ j.doneBits[wordIndex]
-		j.doneBits[wordIndex] |= word
-		j.doneCount += bits.OnesCount64(newBits)
+		j.doneCount += j.doneBits.merge(wordIndex, word)
 	}
 }
 
@@ -78,7 +108,7 @@
 func (j *job) chunk(n int) *chunk {
 	found := j.chunks[n]
 	if found == nil {
-		words := min(chunkWords, len(j.doneBits)-n*chunkWords)
+		words := min(chunkWords, wordsFor(j.Tasks)-n*chunkWords)
 		found = &chunk{durableBits: make([]uint64, max(words, 0))}
 		j.chunks[n] = found
 	}
@@ -121,7 +151,7 @@
 // writeChunk stores a chunk, in several parts if it exceeds the limit on the size of a value.
 func (s *State) writeChunk(j *job, number int, c *chunk) {
 	c.dirty, c.writing, c.lastWriteAt = false, true, s.now
-	words := append([]uint64(nil), j.doneBits[number*chunkWords:number*chunkWords+len(c.durableBits)]...)
+	words := j.doneBits.section(number*chunkWords, len(c.durableBits))
 	encoded := make([]byte, 0, len(words)*8)
 	for _, w := range words {
 		for k := 0; k < 8; k++ {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -27,7 +27,7 @@
 	submittedAt int64  // wall clock, ms
 	rank        int    // see model.PriorityRank
 
-	doneBits    []uint64 // bitmap of the finished tasks
+	doneBits    bitmap // the finished tasks
 	doneCount   int
 	chunks      map[int]*chunk // sections of doneBits, which are stored separately
 	finalSeenAt time.Duration  // when this controller learnt that the job is final
@@ -60,7 +60,7 @@
 // isFinal reports whether the job is done or cancelled.
 func (j *job) isFinal() bool { return j.phase != "" }
 
-func (j *job) isDone(i int) bool { return j.doneBits[i/64]&(1<<(i%64)) != 0 }
+func (j *job) isDone(i int) bool { return j.doneBits.has(i) }
 
 func (j *job) countRunning() int {
 	n := 0
@@ -122,7 +122,6 @@
 		if value.Spec != nil {
 			j.Job = *value.Spec
 			j.arrival, j.submittedAt, j.rank = item.ModRevision, value.SubmittedAt, model.PriorityRank(j.Priority)
-			j.doneBits = make([]uint64, (j.Tasks+63)/64)
 			j.chunks = map[int]*chunk{}
 			s.active[id] = j
 			s.log(slog.LevelDebug, "job queued", "job", id, "class", j.Class, "tasks", j.Tasks, "cpus", j.CPUs, "estimate_s", j.EstimateS, "image", j.Image)
@@ -193,8 +192,7 @@
 }
 
 func (j *job) setDone(index int) {
-	j.doneBits[index/64] |= 1 << (index % 64)
-	j.doneCount++
+	j.doneCount += j.doneBits.merge(index/64, 1<<(index%64))
 	j.chunk(index / chunkTasks).dirty = true
 }
 
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -66,11 +66,14 @@
 	j.gang.rentPauses++
 }
 
+// maxRentalsInFlight bounds the rental requests under way.
+const maxRentalsInFlight = 4
+
 // requestRental requests machines from the cloud. The name of the request contains the
 // term and a number, so that no two requests have the same name. A retry of an unanswered
 // request uses the same name again, so that it is not carried out twice.
 func (s *State) requestRental(rental fleet.Rental) {
-	if s.rentalsInFlight >= 4 {
+	if s.rentalsInFlight >= maxRentalsInFlight {
 		return // the rental is planned again once the requests under way are answered
 	}
 	s.lastRentalNumber++
@@ -79,11 +82,12 @@
 }
 
 // sendRental sends a rental request, and repeats it up to three times if it has no answer.
-// A request is for 50 machines at most; the rest is planned again.
+// A request is for fleet.MaxRequestCount machines at most; the rest is planned again.
 func (s *State) sendRental(request string, rental fleet.Rental, retries int) {
 	leadership := s.leadership
 	key := offerKey{rental.Type, rental.Zone, rental.Spot}
-	sent := s.callCloud(CloudCall{Op: CloudRent, Request: request, Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot, Count: min(rental.Count, 50)}, func(result CloudResult) {
+	count := min(rental.Count, fleet.MaxRequestCount)
+	sent := s.callCloud(CloudCall{Op: CloudRent, Request: request, Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot, Count: count}, func(result CloudResult) {
 		if s.leadership != leadership {
 			return
 		}
@@ -100,7 +104,7 @@
 				m.preexisting = false // it may have reported before this answer came
 				s.describeMachine(m, "", rental.Type, rental.Zone, rental.Spot)
 			}
-			if len(result.Hosts) < min(rental.Count, 50) {
+			if len(result.Hosts) < count {
 				s.recordRefusal(key)
 			} else {
 				delete(s.refusedOffers, key)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,11 @@
 	MachinesInZone int
 }
 
-// Rental is a number of machines to request from the cloud.
+// MaxRequestCount is how many machines one rental request may ask for (PROTOCOL, /machines).
+const MaxRequestCount = 50
+
+// Rental is a number of machines to rent of one offer. Beyond MaxRequestCount, Count says how
+// many would be needed; the capacity of those machines is not planned.
 type Rental struct {
 	Type, Zone string
 	Spot       bool
@@ -63,10 +67,15 @@
 // Plan places the demands, in order, on the expected capacity, and rents machines for the
 // rest, at most limit. It rents none for an all-or-nothing demand that it can't place as a
 // whole; unmet lists the ids of the jobs of such demands. Plan overwrites elements of demands
-// and expected.
+// and expected. Its time and memory are bounded by the expected capacity and by MaxRequestCount
+// machines of each offer, however many tasks wait.
 func Plan(demands []Demand, expected []ExpectedCapacity, offers []Offer, limit int) (rentals []Rental, unmet []string) {
 	p := &plan{expected: expected, offers: slices.Clone(offers), rentalIndex: map[int]int{}, limit: limit}
+	lastGang := lastAllOrNothing(demands)
 	for i := range demands {
+		if i > lastGang && p.isComplete() {
+			break
+		}
 		demand := &demands[i]
 		if !demand.AllOrNothing {
 			p.satisfy(demand)
@@ -81,6 +90,16 @@
 	return p.rentals, unmet
 }
 
+// lastAllOrNothing returns the index of the last all-or-nothing demand, or -1.
+func lastAllOrNothing(demands []Demand) int {
+	for i := len(demands) - 1; i >= 0; i-- {
+		if demands[i].AllOrNothing {
+			return i
+		}
+	}
+	return -1
+}
+
 // plan is the state of a call of Plan.
 type plan struct {
 	expected    []ExpectedCapacity // with the capacity that is left
@@ -90,6 +109,19 @@
 	limit       int         // how many more machines may be rented
 }
 
+// isComplete reports whether no further demand can add a machine to a request.
+func (p *plan) isComplete() bool {
+	if p.limit <= 0 {
+		return true
+	}
+	for index := range p.offers {
+		if !p.isRequestFull(index) {
+			return false
+		}
+	}
+	return true
+}
+
 // clone copies the plan, so that a failed placement can be undone.
 func (p *plan) clone() *plan {
 	copied := *p
@@ -116,9 +148,14 @@
 // that is left.
 func (o *openDemand) fill(zone string, capacity sched.Resources) sched.Resources {
 	count := sched.TasksThatFit(capacity, o.Need, min(o.remaining, o.zoneAllowance(zone)))
+	o.place(zone, count)
+	return capacity.Sub(o.Need.Times(count))
+}
+
+// place counts tasks as placed in a zone.
+func (o *openDemand) place(zone string, count int) {
 	o.placedByZone[zone] += count
 	o.remaining -= count
-	return capacity.Sub(o.Need.Times(count))
 }
 
 // satisfy places a demand on the expected capacity, rents machines for the rest, and returns
@@ -128,25 +165,39 @@
 	if demand.OneZone && demand.Job.Zone == "" {
 		demand.Job = withChosenZone(demand, p.expected, p.offers)
 	}
-	for index := range p.expected {
-		machine := &p.expected[index]
-		if fits(demand, machine.Type, machine.Zone, machine.Spot) {
-			machine.Free = open.fill(machine.Zone, machine.Free)
-		}
-	}
+	p.useExpected(open)
 	for open.remaining > 0 && p.limit > 0 {
 		offerIndex := p.cheapestOffer(open)
 		if offerIndex < 0 {
 			break
 		}
-		p.rent(offerIndex, open)
+		if p.isRequestFull(offerIndex) {
+			p.postpone(offerIndex, open)
+		} else {
+			p.rent(offerIndex, open)
+		}
 	}
 	return open.remaining
 }
 
+// useExpected places tasks of a demand on the expected capacity. It drops the machines that
+// have no capacity left, so that they cost no time for the later demands.
+func (p *plan) useExpected(open *openDemand) {
+	kept := p.expected[:0]
+	for _, machine := range p.expected {
+		if open.remaining > 0 && fits(open.Demand, machine.Type, machine.Zone, machine.Spot) {
+			machine.Free = open.fill(machine.Zone, machine.Free)
+		}
+		if machine.Free.CPUs > 0 && machine.Free.MemoryGB > 0 {
+			kept = append(kept, machine)
+		}
+	}
+	p.expected = kept
+}
+
 // cheapestOffer returns the index of the offer with the lowest price per task, when as many
-// tasks of the demand as possible are placed on the machine. It returns -1 if no offer
-// suits.
+// tasks of the demand as possible are placed on the machine. Of equal ones, those whose request
+// is not full come first, then the zone with the fewest machines. It returns -1 if no offer suits.
 func (p *plan) cheapestOffer(open *openDemand) int {
 	bestIndex, bestCost := -1, math.Inf(1)
 	for index := range p.offers {
@@ -156,18 +207,52 @@
 			continue
 		}
 		cost := offer.Price / float64(sched.TasksThatFit(capacity, open.Need, min(open.remaining, open.zoneAllowance(offer.Zone))))
-		if cost < bestCost-1e-9 || math.Abs(cost-bestCost) <= 1e-9 && bestIndex >= 0 && offer.MachinesInZone < p.offers[bestIndex].MachinesInZone {
+		if cost < bestCost-1e-9 || math.Abs(cost-bestCost) <= 1e-9 && bestIndex >= 0 && p.isPreferred(index, bestIndex) {
 			bestIndex, bestCost = index, cost
 		}
 	}
 	return bestIndex
 }
 
+// isPreferred reports whether offer a is preferred to offer b, which costs as much.
+func (p *plan) isPreferred(a, b int) bool {
+	if p.isRequestFull(a) != p.isRequestFull(b) {
+		return p.isRequestFull(b)
+	}
+	return p.offers[a].MachinesInZone < p.offers[b].MachinesInZone
+}
+
+// isRequestFull reports whether the rental of an offer has as many machines as one request may
+// ask for.
+func (p *plan) isRequestFull(index int) bool {
+	position, ok := p.rentalIndex[index]
+	return ok && p.rentals[position].Count >= MaxRequestCount
+}
+
 // rent adds a machine of an offer to the rentals and places tasks on it.
 func (p *plan) rent(index int, open *openDemand) {
 	offer := &p.offers[index]
-	offer.MachinesInZone++ // other offers in this zone keep their number
-	p.limit--
+	p.addToRental(index, 1, open)
+	p.expected = append(p.expected, ExpectedCapacity{offer.Type.Name, offer.Zone, offer.Spot, open.fill(offer.Zone, offer.capacity())})
+}
+
+// postpone sets aside the tasks of a demand for which machines of an offer can be rented only
+// after the next request. It counts these machines, all at once, and plans nothing for their
+// capacity: with a plan of each machine, an array of 100,000 tasks took the memory of the leader.
+func (p *plan) postpone(index int, open *openDemand) {
+	offer := &p.offers[index]
+	tasks := min(open.remaining, open.zoneAllowance(offer.Zone))
+	tasksPerMachine := sched.TasksThatFit(offer.capacity(), open.Need, tasks)
+	machines := min((tasks+tasksPerMachine-1)/tasksPerMachine, p.limit)
+	open.place(offer.Zone, min(tasks, machines*tasksPerMachine))
+	p.addToRental(index, machines, open)
+}
+
+// addToRental adds machines of an offer to the rentals.
+func (p *plan) addToRental(index, machines int, open *openDemand) {
+	offer := &p.offers[index]
+	offer.MachinesInZone += machines // other offers in this zone keep their number
+	p.limit -= machines
 	position, ok := p.rentalIndex[index]
 	if !ok {
 		position = len(p.rentals)
@@ -175,11 +260,10 @@
 		p.rentals = append(p.rentals, Rental{Type: offer.Type.Name, Zone: offer.Zone, Spot: offer.Spot})
 	}
 	rental := &p.rentals[position]
-	rental.Count++
+	rental.Count += machines
 	if open.AllOrNothing && !slices.Contains(rental.Gangs, open.Job.ID) {
 		rental.Gangs = append(slices.Clone(rental.Gangs), open.Job.ID) // a clone of the plan may share the slice
 	}
-	p.expected = append(p.expected, ExpectedCapacity{offer.Type.Name, offer.Zone, offer.Spot, open.fill(offer.Zone, offer.capacity())})
 }
 
 // capacity is the capacity of an empty machine of this offer.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
+	"unsafe"
 
 	"mulleinfall/internal/model"
 	"mulleinfall/internal/sched"
@@ -109,3 +111,93 @@
 		}
 	}
 }
+
+// TestPlanMemoryIsBounded guards against a plan whose memory grows with the waiting tasks:
+// twelve arrays of 100,000 tasks took one leader after the other over its memory limit. A plan
+// may take memory for the expected machines and for those that can be requested now.
+func TestPlanMemoryIsBounded(t *testing.T) {
+	const waitingTasks, expectedMachines = 100_000, 100
+	const machineBytes = 4 * int(unsafe.Sizeof(ExpectedCapacity{})) // slices grow by copying
+	for _, c := range []struct {
+		name   string
+		change func(*Demand)
+		copies int // of the plan
+	}{
+		{"arrays", func(*Demand) {}, 1},
+		{"arrays in one zone", func(d *Demand) { d.OneZone = true }, 1},
+		{"spread services", func(d *Demand) { d.ZoneAllowance = func(string) int { return waitingTasks / 2 } }, 1},
+		{"gangs", func(d *Demand) { d.AllOrNothing = true }, 13},
+	} {
+		var demands []Demand
+		for i := range 12 {
+			demand := newDemand(waitingTasks, model.Job{ID: fmt.Sprintf("req-%06d", i), Spot: true})
+			c.change(&demand)
+			demands = append(demands, demand)
+		}
+		expected := make([]ExpectedCapacity, expectedMachines)
+		for i := range expected {
+			expected[i] = ExpectedCapacity{"small", "a", false, sched.MachineCapacity(4, 0, 16)}
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		started := time.Now()
+		rentals, unmet := Plan(demands, expected, offers(), math.MaxInt)
+		took := time.Since(started)
+		runtime.ReadMemStats(&after)
+		machines := 0
+		for _, rental := range rentals {
+			machines += rental.Count
+		}
+		if most := c.copies * (expectedMachines + len(offers())*MaxRequestCount) * machineBytes; after.TotalAlloc-before.TotalAlloc > uint64(most) || took > time.Second {
+			t.Errorf("%s: got a plan that took %d bytes and %v, want at most %d bytes and 1s", c.name, after.TotalAlloc-before.TotalAlloc, took, most)
+		}
+		if machines < 100*MaxRequestCount || len(unmet) > 0 {
+			t.Errorf("%s: got %d machines wanted, jobs %v without, want thousands and none", c.name, machines, unmet)
+		}
+	}
+}
+
+// TestPlanBeyondOneRequest checks plans for more machines than one request may ask for: all
+// zones with the same price are used, and the limit holds for the machines beyond as well.
+func TestPlanBeyondOneRequest(t *testing.T) {
+	spotTasks := func(count int) Demand { return newDemand(count, model.Job{Spot: true, Types: []string{"small"}}) }
+	gang := newDemand(300, model.Job{ID: "gang", Spot: true, Types: []string{"small"}})
+	gang.AllOrNothing = true
+	oneZone := newDemand(300, model.Job{Spot: true, Types: []string{"small"}})
+	oneZone.OneZone = true
+	busyZone := offers()
+	for i := range busyZone {
+		if busyZone[i].Zone == "b" {
+			busyZone[i].MachinesInZone = 1000
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		demands []Demand
+		offers  []Offer
+		limit   int
+		want    string // requests (type, zone, spot, count and gangs), and how many machines are wanted in all
+	}{
+		{"both zones take as much", []Demand{spotTasks(300)}, offers(), 1000, "[{small a true 50 []} {small b true 50 []}] of 150"},
+		{"a zone with many machines is used once the other request is full", []Demand{spotTasks(150)}, busyZone, 1000, "[{small a true 50 []} {small b true 25 []}] of 75"},
+		{"one zone", []Demand{oneZone}, offers(), 1000, "[{small a true 50 []}] of 150"},
+		{"the limit", []Demand{spotTasks(300), spotTasks(300)}, offers(), 120, "[{small a true 50 []} {small b true 50 []}] of 120"},
+		{"a gang within the limit", []Demand{gang}, offers(), 150, "[{small a true 50 [gang]} {small b true 50 [gang]}] of 150"},
+		{"a gang beyond the limit", []Demand{gang}, offers(), 149, "[] of 0 unmet [gang]"},
+		{"a later job", []Demand{spotTasks(300), spotTasks(2)}, offers(), 1000, "[{small a true 50 []} {small b true 50 []}] of 151"},
+	} {
+		got, unmet := Plan(c.demands, nil, c.offers, c.limit)
+		wanted := 0
+		for i := range got {
+			wanted += got[i].Count
+			got[i].Count = min(got[i].Count, MaxRequestCount)
+		}
+		plan := fmt.Sprint(got, " of ", wanted)
+		if len(unmet) > 0 {
+			plan += fmt.Sprint(" unmet ", unmet)
+		}
+		if plan != c.want {
+			t.Errorf("%s: got rentals %s, want %s", c.name, plan, c.want)
+		}
+	}
+}
