Plan up to four requests' machines of each offer one by one

With 50 machines of each offer planned one by one, jobs that come later in a plan could no longer share the machines beyond them, as they could before the plan was bounded. 200 machines keep that, and the bound on memory is still one on what can be rented.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,8 +48,12 @@
 // MaxRequestCount is how many machines one rental request may ask for (PROTOCOL, /machines).
 const MaxRequestCount = 50
 
-// Rental is a number of machines to rent of one offer. Beyond MaxRequestCount, Count says how
-// many would be needed; the capacity of those machines is not planned.
+// maxPlanned is how many machines of one offer are planned one by one, so that several jobs can
+// share them: as many as a few requests bring.
+const maxPlanned = 4 * MaxRequestCount
+
+// Rental is a number of machines to rent of one offer. Beyond maxPlanned, Count says how many
+// would be needed; the capacity of those machines is not planned.
 type Rental struct {
 	Type, Zone string
 	Spot       bool
@@ -67,7 +71,7 @@
 // Plan places the demands, in order, on the expected capacity, and rents machines for the
 // rest, at most limit. It rents none for an all-or-nothing demand that it can't place as a
 // whole; unmet lists the ids of the jobs of such demands. Plan overwrites elements of demands
-// and expected. Its time and memory are bounded by the expected capacity and by MaxRequestCount
+// and expected. Its time and memory are bounded by the expected capacity and by maxPlanned
 // machines of each offer, however many tasks wait.
 func Plan(demands []Demand, expected []ExpectedCapacity, offers []Offer, limit int) (rentals []Rental, unmet []string) {
 	p := &plan{expected: expected, offers: slices.Clone(offers), rentalIndex: map[int]int{}, limit: limit}
@@ -109,13 +113,13 @@
 	limit       int         // how many more machines may be rented
 }
 
-// isComplete reports whether no further demand can add a machine to a request.
+// isComplete reports whether no further demand can add a machine to the next requests.
 func (p *plan) isComplete() bool {
 	if p.limit <= 0 {
 		return true
 	}
 	for index := range p.offers {
-		if !p.isRequestFull(index) {
+		if !p.isFullyPlanned(index) {
 			return false
 		}
 	}
@@ -171,7 +175,7 @@
 		if offerIndex < 0 {
 			break
 		}
-		if p.isRequestFull(offerIndex) {
+		if p.isFullyPlanned(offerIndex) {
 			p.postpone(offerIndex, open)
 		} else {
 			p.rent(offerIndex, open)
@@ -196,8 +200,9 @@
 }
 
 // cheapestOffer returns the index of the offer with the lowest price per task, when as many
-// tasks of the demand as possible are placed on the machine. Of equal ones, those whose request
-// is not full come first, then the zone with the fewest machines. It returns -1 if no offer suits.
+// tasks of the demand as possible are placed on the machine. Of equal ones, those that are
+// not fully planned come first, then the zone with the fewest machines. It returns -1 if no offer
+// suits.
 func (p *plan) cheapestOffer(open *openDemand) int {
 	bestIndex, bestCost := -1, math.Inf(1)
 	for index := range p.offers {
@@ -216,17 +221,16 @@
 
 // isPreferred reports whether offer a is preferred to offer b, which costs as much.
 func (p *plan) isPreferred(a, b int) bool {
-	if p.isRequestFull(a) != p.isRequestFull(b) {
-		return p.isRequestFull(b)
+	if p.isFullyPlanned(a) != p.isFullyPlanned(b) {
+		return p.isFullyPlanned(b)
 	}
 	return p.offers[a].MachinesInZone < p.offers[b].MachinesInZone
 }
 
-// isRequestFull reports whether the rental of an offer has as many machines as one request may
-// ask for.
-func (p *plan) isRequestFull(index int) bool {
+// isFullyPlanned reports whether no further machine of an offer is planned one by one.
+func (p *plan) isFullyPlanned(index int) bool {
 	position, ok := p.rentalIndex[index]
-	return ok && p.rentals[position].Count >= MaxRequestCount
+	return ok && p.rentals[position].Count >= maxPlanned
 }
 
 // rent adds a machine of an offer to the rentals and places tasks on it.
@@ -237,7 +241,7 @@
 }
 
 // postpone sets aside the tasks of a demand for which machines of an offer can be rented only
-// after the next request. It counts these machines, all at once, and plans nothing for their
+// after several requests. It counts these machines, all at once, and plans nothing for their
 // capacity: with a plan of each machine, an array of 100,000 tasks took the memory of the leader.
 func (p *plan) postpone(index int, open *openDemand) {
 	offer := &p.offers[index]
