Send starts in answers to reports only, so that no copy starts a task again

A copy of a direct start that had been carried out and answered could reach a worker that had just restarted. Such a worker is in session 1 and knows no epoch, so it carried the copy out: a cancelled task ran again, or a task ran on two machines at once.

Cause: copies were voided by what the worker remembers (attempt, session, epoch), and nothing that a controller sends after a restart can arrive before a copy that is there at once.

Change: direct commands carry stops or nothing. Starts are sent in answers to reports, which a worker drops after 4 s and from before a restart. What guarded direct starts is gone: the record of unanswered ones, leases that count from them, forgets that wait for them, a raised fence after each. A command under a raised epoch requests a report where a task waits to be started; reports of machines that run only replicas are held for up to 2 s; among equal machines a task prefers one that gets the start now.

The option that kept late commands from restarted workers is removed from the simulation.

--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -14,6 +14,12 @@
 // session, and does not carry it out. When the leader raises the fence, which is the low
 // bits of the epoch, earlier commands that are still on their way become invalid as soon
 // as the worker has seen the new epoch.
+//
+// A direct command never starts a task. The network may deliver a copy of a command minutes
+// after it was carried out, also to a worker that has just restarted, and such a worker knows
+// no epoch that would void the copy. A copy of a stop does no harm. Starts are sent in answers
+// to reports only, which a worker drops if they are late. If a start should not wait for the
+// next report, a command with a raised epoch makes the worker report at once (requestReport).
 
 // commandState is the leader's state about direct commands.
 type commandState struct {
@@ -65,15 +71,25 @@
 		if s.mayProbe() {
 			s.nextCommandIndex = index
 		}
-		switch {
-		case m.unverifiedReport != nil && s.mayProbe():
-			s.sendCommand(m, nil, nil)
-		case s.now < m.nextCommandAt:
-		case m.hasUnsentOrders && m.reconciled && s.now-m.lastHeardAt <= 2*s.cfg.ReportInterval:
-			s.sendUnsentOrders(m)
-		case s.mayProbe() && s.needsProbe(m):
-			s.sendCommand(m, nil, nil)
-		}
+		s.sendNextCommand(m)
+	}
+}
+
+// sendNextCommand sends m the command that it needs most, if any.
+func (s *State) sendNextCommand(m *machine) {
+	if m.unverifiedReport != nil && s.mayProbe() {
+		s.sendCommand(m, nil)
+		return
+	}
+	if s.now < m.nextCommandAt {
+		return
+	}
+	mayGetOrders := m.reconciled && s.now-m.lastHeardAt <= 2*s.cfg.ReportInterval
+	if mayGetOrders && s.sendOrders(m) {
+		return
+	}
+	if s.mayProbe() && s.needsProbe(m) {
+		s.sendCommand(m, nil)
 	}
 }
 
@@ -93,41 +109,45 @@
 	return s.now-m.lastHeardAt > 2*s.cfg.ReportInterval || m.reachability.unreachable && m.highestEpoch < m.reachability.recoveryEpoch
 }
 
-// sendUnsentOrders sends the unsent starts and stops of m by a direct command, 100 of them
-// at most.
-func (s *State) sendUnsentOrders(m *machine) {
-	var unsent []*task
-	for _, t := range m.tasks {
-		if !t.startSent || t.stopping {
-			unsent = append(unsent, t)
-		}
+// maxCommandOrders bounds the orders in one direct command.
+const maxCommandOrders = 100
+
+// sendOrders sends m the stops that have not been sent yet, maxCommandOrders of them at most.
+// If tasks wait to be started, it makes the worker report at once. It says whether it has sent
+// a command.
+func (s *State) sendOrders(m *machine) bool {
+	var stops []model.Order
+	if m.hasUnsentStops {
+		stops = s.unsentStops(m)
+		m.hasUnsentStops = len(stops) == maxCommandOrders // there may be more
 	}
-	slices.SortFunc(unsent, func(a, b *task) int { return strings.Compare(a.name, b.name) })
-	var orders []model.Order
-	var starts []*task
-	for _, t := range unsent {
-		if len(orders) >= 100 {
-			break
-		}
-		if !t.startSent && !t.stopping && m.mayGetDirectStarts() {
-			orders = append(orders, model.Order{Verb: model.OrderStart, Task: t.name, Attempt: t.attempt})
-			starts = append(starts, t)
-		} else if t.stopping && t.stopRequestedAt != 0 && t.state != "" {
-			orders = append(orders, t.killOrder())
-			t.stopRequestedAt = 0 // the stop is sent directly once; answers to reports repeat it
+	switch {
+	case s.mayRequestReport(m):
+		s.requestReport(m, stops)
+	case len(stops) > 0:
+		s.sendCommand(m, stops)
+	default:
+		return false
+	}
+	return true
+}
+
+// unsentStops returns the stops of tasks on m that no direct command has carried yet, in the
+// order of the tasks' names, and notes that they are sent. Answers to reports repeat them.
+func (s *State) unsentStops(m *machine) []model.Order {
+	var stopping []*task
+	for _, t := range m.tasks {
+		if t.stopping && t.stopRequestedAt != 0 && t.state != "" {
+			stopping = append(stopping, t)
 		}
 	}
-	if len(orders) > 0 {
-		s.sendCommand(m, orders, starts)
-	} else {
-		m.hasUnsentOrders = false
+	slices.SortFunc(stopping, func(a, b *task) int { return strings.Compare(a.name, b.name) })
+	var stops []model.Order
+	for _, t := range stopping[:min(len(stopping), maxCommandOrders)] {
+		stops = append(stops, t.killOrder())
+		t.stopRequestedAt = 0
 	}
-}
-
-// mayGetDirectStarts says whether tasks may be started on m by direct commands: a successor
-// would know of it, and doesn't count its lease from an earlier mark (markUnresponsiveMachines).
-func (m *machine) mayGetDirectStarts() bool {
-	return m.registered && m.unresponsiveSince == 0 && m.storedUnresponsiveSince == 0
+	return stops
 }
 
 // sentCommand is a direct command under way, with what its machine had shown before it was
@@ -135,32 +155,24 @@
 type sentCommand struct {
 	machine      *machine
 	leadership   *election.Leadership
-	epoch        uint64
-	hasOrders    bool
-	starts       []*task // tasks that it starts
-	session, seq uint64  // session and number of the last report that had been applied
+	session, seq uint64 // session and number of the last report that had been applied
 	sentAt       time.Duration
 	zone         string
 }
 
 // sendCommand sends m orders under its current epoch, or an empty command that only asks
-// for its report. starts are the tasks that the orders start.
-func (s *State) sendCommand(m *machine, orders []model.Order, starts []*task) {
-	command := sentCommand{
-		machine: m, leadership: s.leadership, epoch: s.epoch(m), hasOrders: len(orders) > 0,
-		starts: starts, session: m.session, seq: m.seq, sentAt: s.now, zone: m.zone,
-	}
+// for its report.
+func (s *State) sendCommand(m *machine, orders []model.Order) {
+	command := sentCommand{machine: m, leadership: s.leadership, session: m.session, seq: m.seq, sentAt: s.now, zone: m.zone}
 	m.commandInFlight = true
 	s.commandsInFlight++
 	s.commandsInFlightByZone[m.zone]++
-	for _, t := range starts {
-		t.startSent, t.unconfirmedStartEpoch, t.directStartAt = true, command.epoch, s.now
-	}
 	if orders == nil {
 		orders = []model.Order{}
 	}
 	s.recordStopsSent(m, orders, "command")
-	call := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: command.epoch, Session: m.session, Orders: orders, SendBefore: s.leadership.ValidUntil()}
+	s.recordEpochSent(m)
+	call := AgentCall{Host: m.host, Endpoint: m.endpoint, Epoch: s.epoch(m), Session: m.session, Orders: orders, SendBefore: s.leadership.ValidUntil()}
 	call.CallID = s.registerCall(func(result any) { s.completeCommand(command, result.(AgentResult)) })
 	s.emit(call)
 }
@@ -180,9 +192,6 @@
 	m.commandInFlight = false
 	// An answer under another name is no answer: the address belongs to another machine now.
 	answered := result.Report != nil && result.Report.Host == m.host && (result.Status == 200 || result.Status == 409)
-	for _, t := range command.starts {
-		t.directStartAt = s.now // until then, the worker may have restarted before the start came
-	}
 	if answered {
 		s.handleCommandAnswer(command, result)
 	} else {
@@ -195,41 +204,21 @@
 // orders that have been waiting for the answer.
 func (s *State) handleCommandAnswer(command sentCommand, result AgentResult) {
 	m, r := command.machine, result.Report
-	s.recordStartOutcome(m, command.starts, command.epoch, result.Status)
 	if s.provesRestart(command, r) {
 		s.handleRestart(m, r)
-	} else {
-		s.recordSameIncarnation(command, r)
 	}
 	if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
 		s.applyReport(m, r, false)
 	}
 	if result.Status == 409 {
+		m.reportRequests.epochChangeAt = 0 // the worker may not have taken the epoch
 		m.nextCommandAt = s.now + s.cfg.ReportInterval/4
 		if !m.reconciled {
 			m.nextCommandAt = s.now // the session is known now: send again at once
 		}
 	}
 	if s.IsLeader() && !m.commandInFlight && s.now >= m.nextCommandAt {
-		s.sendUnsentOrders(m)
-	}
-}
-
-// recordSameIncarnation uses the tasks that the answer r to a command lists again. They show
-// that the worker has not restarted since they were started, so the lease of the tasks that the
-// command started counts from no later than theirs.
-func (s *State) recordSameIncarnation(command sentCommand, r *model.Report) {
-	if len(command.starts) == 0 || r.Session != command.machine.session {
-		return
-	}
-	latest := s.now
-	for _, reported := range r.Tasks {
-		if t := command.machine.tasks[reported.Task]; t.wasListed(r.Session) && t.attempt == reported.Attempt {
-			latest = min(latest, t.directStartAt)
-		}
-	}
-	for _, t := range command.starts {
-		t.directStartAt = min(t.directStartAt, latest)
+		s.sendOrders(m)
 	}
 }
 
@@ -243,15 +232,10 @@
 	return r.Seq > command.machine.seq && s.lacksListedTask(command.machine, r)
 }
 
-// handleUnansweredCommand handles a command that had no valid answer. The command may still
-// be carried out later, so that its outcome is unknown. If it had orders, the fence is
-// raised: once a report shows the higher epoch, the command can no longer be carried out.
+// handleUnansweredCommand handles a command that had no valid answer.
 func (s *State) handleUnansweredCommand(command sentCommand) {
 	m := command.machine
-	if command.hasOrders {
-		m.unconfirmedEpoch = max(m.unconfirmedEpoch, command.epoch)
-		s.raiseFence(m)
-	}
+	m.reportRequests.epochChangeAt = 0 // the worker may not have seen the epoch, so that another request may help
 	m.nextCommandAt = s.now + s.cfg.Lease/8
 	m.hasUnansweredCommand = true
 	if m.lastHeardAt > command.sentAt {
@@ -259,25 +243,6 @@
 	}
 }
 
-// recordStartOutcome records the outcome of direct starts. A late copy of the command may
-// still arrive after it was carried out. In an earlier version such a copy started a task a
-// second time. So the fence is raised: all that could make these starts valid again, such as
-// a forget or another attempt, is sent under a higher epoch, after which the copy is refused.
-func (s *State) recordStartOutcome(m *machine, starts []*task, epoch uint64, status int) {
-	if len(starts) > 0 {
-		s.raiseFence(m)
-	}
-	for _, t := range starts {
-		if t.unconfirmedStartEpoch != epoch {
-			continue
-		}
-		t.unconfirmedStartEpoch = 0 // the outcome is known
-		if status == 409 {
-			t.startSent = t.startSentSeq != 0 // refused: sent only if an answer carried it as well
-		}
-	}
-}
-
 // killOrder returns the order that stops t.
 func (t *task) killOrder() model.Order {
 	graceS := t.graceS
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -74,7 +74,7 @@
 			break // sockets are limited: the other orders are sent with later reports and ticks
 		}
 		if !m.commandInFlight && s.now >= m.nextCommandAt && m.reconciled && m.endpoint != "" {
-			s.sendUnsentOrders(m)
+			s.sendOrders(m)
 		}
 	}
 }
@@ -91,9 +91,11 @@
 		entries[i] = j.queueEntry
 	}
 	env.views = s.viewBuffer[:0]
+	hasPendingReport := s.machinesWithPendingReport()
 	for _, m := range s.machinesByName {
 		if s.isUsable(m) {
 			s.refreshView(m)
+			m.view.StartDelay = s.startDelay(m, hasPendingReport[m])
 			env.views = append(env.views, &m.view)
 		} else if len(m.view.LocalQueue) > 0 {
 			m.view.LocalQueue = nil // its tasks return to the global queue
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -21,36 +21,15 @@
 	unaccountedFor   []*machine // machines of all zones that are not accounted for, as of the current dispatch round
 }
 
-// latestLeaseStart is the time from which the lease counts under which t may run. The worker
-// counts it from then or from earlier: it was given the task in reply to a report or by a
-// direct command, and had begun its lease before. Tasks that were started by a direct command
-// since the last reply may run under a later lease than the others: unnoticed by this leader,
-// the worker may have restarted just before the command came.
-func (t *task) latestLeaseStart() time.Duration { return max(t.machine.lastReplyAt, t.directStartAt) }
-
-// latestLeaseStart is the time from which the lease of m's worker counts for a successor, which
-// doesn't know when each task was started. Direct starts without an answer are left out: on a
-// machine that is cut off none of them arrives, and counting them would delay all jobs from
-// before the successor's term. (For the gap that this leaves, see docs/questions.md, 17.)
-func (m *machine) latestLeaseStart() time.Duration {
-	latest := m.lastReplyAt
-	for _, t := range m.tasks {
-		if t.unconfirmedStartEpoch == 0 {
-			latest = max(latest, t.directStartAt)
-		}
-	}
-	return latest
-}
-
-// leaseEndsAt is when the lease under which all but the newest tasks of m may run has
-// certainly expired, if no controller renews it again.
-func (s *State) leaseEndsAt(m *machine) time.Duration { return s.leaseEnd(m.lastReplyAt) }
-
-// leaseEnd is when a lease has certainly expired that counts from start or from earlier. The
-// margin is four times the bound on the clock drift during a lease, plus 1/32 of a lease.
-func (s *State) leaseEnd(start time.Duration) time.Duration {
+// leaseEndsAt is when the lease under which the tasks of m may run has certainly expired, if no
+// controller renews it again. A worker gets tasks only in answers to its reports, each of which
+// renews the lease, so no task runs under a later lease than the last answer gave: also not if the
+// worker has restarted since, unnoticed by this leader.
+//
+// The margin is four times the bound on the clock drift during a lease, plus 1/32 of a lease.
+func (s *State) leaseEndsAt(m *machine) time.Duration {
 	lease := s.cfg.Lease
-	return start + lease + time.Duration(float64(lease)*4*ClockDrift) + lease/32
+	return m.lastReplyAt + lease + time.Duration(float64(lease)*4*ClockDrift) + lease/32
 }
 
 // expireLeases unbinds the tasks of machines whose lease has certainly expired, and drops
@@ -64,10 +43,8 @@
 			s.expireLease(m)
 		}
 		for _, name := range sortedKeys(m.tasks) {
-			if t := m.tasks[name]; s.now >= s.leaseEnd(t.latestLeaseStart()) {
-				s.unbind(t, "lease ran out")
-				s.dispatchNeeded = true
-			}
+			s.unbind(m.tasks[name], "lease ran out")
+			s.dispatchNeeded = true
 		}
 	}
 	s.checkTakeoverComplete()
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -21,7 +21,8 @@
 	spot            bool
 	view            sched.Machine // the machine as the dispatcher sees it
 	viewStale       bool          // the view must be recomputed from the tasks
-	hasUnsentOrders bool          // there may be starts or stops that have not been sent
+	hasUnsentStarts bool          // there may be starts that no answer to a report has carried
+	hasUnsentStops  bool          // there may be stops that no direct command has carried
 
 	session, seq uint64 // session and number of the last report that was applied
 	highestEpoch uint64 // highest epoch that its reports have shown since it last restarted
@@ -89,7 +90,7 @@
 	hasUnansweredCommand bool          // a direct command had no answer in this term
 	commandInFlight      bool          // a direct command is under way
 	nextCommandAt        time.Duration // no direct command before then, except probes that a report calls for
-	unconfirmedEpoch     uint64        // highest epoch of a direct command with orders and no answer; 0: none
+	reportRequests       reportRequestState
 
 	reservedFor   *job // its free capacity is reserved for this job
 	reservedUntil time.Duration
@@ -155,7 +156,7 @@
 	m.returnUnconfirmed, m.returnLogged = false, false
 	m.tasks = map[string]*task{}
 	m.orphanedTasks = map[string]model.TaskReport{}
-	m.session, m.seq, m.fence, m.unconfirmedEpoch, m.nextCommandAt, m.reclaimAt = 0, 0, 0, 0, 0, 0
+	m.session, m.seq, m.fence, m.nextCommandAt, m.reclaimAt = 0, 0, 0, 0, 0
 	m.answeredEpoch, m.answeredSeq, m.answeredAt, m.minEpoch, m.lastProbeAt, m.hasUnansweredCommand = 0, 0, 0, 0, 0, false
 	m.reservedFor, m.slow, m.slowRuns = nil, false, 0
 	m.unverifiedReport, m.reachability = nil, reachability{}
@@ -165,7 +166,7 @@
 	// although another leader has answered the machine since.
 	m.page, m.storedUnresponsiveSince = m.storedPage, m.readUnresponsiveSince
 	m.view.LocalQueue, m.view.Fetching, m.view.Running = nil, nil, nil
-	m.viewStale, m.hasUnsentOrders = true, false
+	m.viewStale, m.hasUnsentStarts, m.hasUnsentStops, m.reportRequests = true, false, false, reportRequestState{}
 }
 
 // takeOver begins a term. It sends an empty command under the new epoch to the registered
--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -59,7 +59,7 @@
 // earlier report.
 func (s *State) hasMissingStart(m *machine, r *model.Report) bool {
 	for _, t := range m.tasks {
-		if t.state == "" && !t.stopping && t.unconfirmedStartEpoch == 0 && t.startSentSeq != 0 && r.Seq > t.startSentSeq && t.session == r.Session {
+		if t.state == "" && !t.stopping && t.startSentSeq != 0 && r.Seq > t.startSentSeq && t.session == r.Session {
 			return true
 		}
 	}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -273,7 +273,7 @@
 		if m.page == 0 || !m.registered || m.returning || m.unresponsiveSince != 0 || s.now-m.lastReplyAt < timeout {
 			continue
 		}
-		m.unresponsiveSince = max(1, s.wallTimeAt(m.latestLeaseStart()))
+		m.unresponsiveSince = max(1, s.wallTimeAt(m.lastReplyAt))
 		s.page(m.page).dirty = true
 	}
 }
--- a/internal/core/reply_ages.go
+++ b/internal/core/reply_ages.go
@@ -18,13 +18,13 @@
 }
 
 // sendReplyAges tells the peers how long ago this controller last replied to each registered
-// machine or sent it a start, if it has not replied for longer than a report interval. The
-// caller has ended this controller's leadership of term for good.
+// machine, if it has not replied for longer than a report interval. The caller has ended this
+// controller's leadership of term for good.
 func (s *State) sendReplyAges(term uint64) {
 	sinceReplyMs := map[string]int{}
 	for _, m := range s.machinesByName {
 		if m.registered && s.now-m.lastReplyAt > s.cfg.ReportInterval {
-			sinceReplyMs[m.host] = int((s.now - m.latestLeaseStart()) / time.Millisecond)
+			sinceReplyMs[m.host] = int((s.now - m.lastReplyAt) / time.Millisecond)
 		}
 	}
 	if len(sinceReplyMs) == 0 {
--- a/internal/core/report_replies.go
+++ b/internal/core/report_replies.go
@@ -26,7 +26,8 @@
 	machine    *machine
 	report     *model.Report
 	receivedAt time.Duration
-	superseded bool // see answerSupersededReport
+	superseded bool          // see answerSupersededReport
+	holdUntil  time.Duration // it is held until then, unless an order is to be sent (mayHoldReport); 0: not held
 }
 
 // answerReport answers a report, with orders unless it is superseded, or with 503 if its worker's lease must not be
@@ -60,6 +61,7 @@
 	orders = s.withStops(pending.machine, pending.report, orders)
 	s.logLeaseRenewed(pending.machine, pending.report, len(orders))
 	s.recordStopsSent(pending.machine, orders, "answer")
+	s.recordEpochSent(pending.machine)
 	s.emit(Reply{RequestID: pending.requestID, Status: 200, Body: ReportReply{s.epoch(pending.machine), orders}, SendBefore: s.leadership.ValidUntil()})
 }
 
@@ -90,10 +92,8 @@
 	return stops
 }
 
-// addStopsForPendingStarts adds stops for tasks of final jobs whose start may reach the
-// machine between its report and the answer. If such a start was sent by a direct command
-// whose outcome is unknown, the fence of m is raised, unless that has happened since: the
-// answer must carry a higher epoch, so that a start that arrives after it is refused.
+// addStopsForPendingStarts adds stops for tasks of final jobs whose start was sent in the answer
+// to an earlier report, and which the worker may not have shown yet.
 func (s *State) addStopsForPendingStarts(m *machine, stops []model.Order) []model.Order {
 	var starting []*task
 	for _, t := range m.tasks {
@@ -103,9 +103,6 @@
 	}
 	slices.SortFunc(starting, func(a, b *task) int { return strings.Compare(a.name, b.name) })
 	for _, t := range starting {
-		if t.unconfirmedStartEpoch != 0 && s.epoch(m) <= t.unconfirmedStartEpoch {
-			s.raiseFence(m)
-		}
 		stops = append(stops, t.killOrder())
 	}
 	return stops
@@ -126,7 +123,8 @@
 }
 
 // answerReports answers the pending reports. Those of machines whose unresponsive mark is
-// still being removed from the registry wait on, but are refused after a report interval.
+// still being removed from the registry wait on, but are refused after a report interval. Those
+// that are held wait on as well.
 func (s *State) answerReports() {
 	pendingReports := s.pendingReports
 	s.pendingReports = nil
@@ -135,6 +133,10 @@
 			s.pendingReports = append(s.pendingReports, pending)
 			continue
 		}
+		if s.IsLeader() && s.now < pending.holdUntil && s.mayHoldReport(pending.machine, pending.report) {
+			s.pendingReports = append(s.pendingReports, pending)
+			continue
+		}
 		s.answerReport(pending)
 	}
 }
@@ -177,16 +179,16 @@
 			orders = append(orders, model.Order{Verb: model.OrderStart, Task: name, Attempt: t.attempt})
 		}
 	}
+	m.hasUnsentStarts = m.hasUnsentStarts && (!m.registered || len(orders) >= maxOrders)
 	return orders
 }
 
-// mayForget says whether m may forget an exited task that it lists. While a direct
-// command may still arrive, nothing may be forgotten, because the command could start a
-// forgotten attempt again; this ends once m has shown a higher epoch. An attempt that is
+// mayForget says whether m may forget an exited task that it lists. No start of a forgotten
+// attempt can arrive late, since starts are sent in answers to reports only. An attempt that is
 // still bound is forgotten only if its cause is unknown (updateTask), and a completed task
 // only once its result is durable.
 func (s *State) mayForget(m *machine, reported model.TaskReport) bool {
-	if reported.State != model.TaskExited || m.commandInFlight || m.unconfirmedEpoch != 0 && m.highestEpoch <= m.unconfirmedEpoch {
+	if reported.State != model.TaskExited {
 		return false
 	}
 	if t := m.tasks[reported.Task]; t != nil && t.attempt == reported.Attempt && model.IsKnownCause(reported.Cause) {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -165,17 +165,17 @@
 		return
 	}
 	m.lastProbeAt = s.now
-	s.sendCommand(m, nil, nil)
+	s.sendCommand(m, nil)
 }
 
 // handleRestart resets the record of a machine that has restarted and counts sessions or
-// reports from the start again. Its tasks are gone unless it lists them. Direct commands
-// sent before the restart may still reach it; the fence and unconfirmedStartEpoch of each
-// task take care of those.
+// reports from the start again. Its tasks are gone unless it lists them. Copies of direct
+// commands from before the restart may still reach it, but they start nothing.
 func (s *State) handleRestart(m *machine, r *model.Report) {
 	s.log(slog.LevelInfo, "machine has restarted", "host", m.host, "session", r.Session, "term", s.leadership.Term)
 	m.session, m.seq, m.highestEpoch = r.Session, 0, 0
 	m.answeredEpoch, m.answeredSeq, m.reachability, m.reconciled = 0, 0, reachability{}, false
+	m.reportRequests = reportRequestState{}      // the worker knows no epoch and no task
 	m.leaseExpired, m.lastReplyAt = false, s.now // it has a new lease since the restart
 	s.refuseReportsBefore(m, r)
 	for _, t := range m.tasks {
@@ -215,7 +215,7 @@
 	// If no query can be sent now, the outcome of the command under way decides, or
 	// sendCommands sends a query once a socket is free.
 	if !m.commandInFlight && s.mayProbe() {
-		s.sendCommand(m, nil, nil)
+		s.sendCommand(m, nil)
 	}
 }
 
@@ -262,10 +262,14 @@
 		return
 	}
 	if !m.registered && !m.reconciled && !m.commandInFlight && s.mayProbe() && m.endpoint != "" {
-		s.sendCommand(m, nil, nil) // a new machine gets tasks only once it has shown an epoch of this term
+		s.sendCommand(m, nil) // a new machine gets tasks only once it has shown an epoch of this term
 	}
 	m.lastReplyAt = s.now
-	if !s.clearUnresponsiveMark(m) || s.dispatchNeeded {
+	s.refuseHeldReport(m)
+	if s.mayHoldReport(m, r) {
+		pending.holdUntil = s.now + s.reportHold()
+	}
+	if !s.clearUnresponsiveMark(m) || s.dispatchNeeded || pending.holdUntil != 0 {
 		// The answer waits until the unresponsive mark is out of the registry, and for
 		// the next dispatch round if one is due. It then carries starts for the capacity
 		// that this report has freed, and the round also sees the capacity that other
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -174,6 +174,7 @@
 	s.abortIncompleteGangs()
 	s.maintainRegistry()
 	s.writeBitmaps()
+	s.answerHeldReports()
 	s.sendCommands()
 	s.cloudTick()
 	s.sendRunningCounts()
--- a/internal/core/task_reports.go
+++ b/internal/core/task_reports.go
@@ -85,19 +85,13 @@
 
 // handleUnlistedTask handles a task that is bound to a machine but missing in its report.
 // The task is unbound only if no start of it can arrive any more: the worker has sent a
-// later report than the one whose answer carried the start, and has shown a higher epoch
-// than any direct start whose outcome is unknown. A task that was never listed and is not
-// being stopped stays bound; the answer repeats its start.
+// later report than the one whose answer carried the start. A task that was never listed and
+// is not being stopped stays bound; the answer repeats its start.
 func (s *State) handleUnlistedTask(t *task, r *model.Report, selfSent bool) {
 	m := t.machine
-	startOutcomeKnown := t.startSent && (t.unconfirmedStartEpoch == 0 || r.Epoch > t.unconfirmedStartEpoch) && (t.startSentSeq == 0 || selfSent && r.Seq > t.startSentSeq)
+	startMayArrive := t.startSentSeq != 0 && !(selfSent && r.Seq > t.startSentSeq)
 	switch {
-	case !startOutcomeKnown && t.startSent:
-		// The low bits of a start's epoch are the fence under which it was sent: the fence is
-		// raised unless it has been raised since.
-		if t.stopping && t.unconfirmedStartEpoch != 0 && m.fence <= t.unconfirmedStartEpoch&(1<<fenceBits-1) {
-			s.raiseFence(m) // the task is unbound once a report shows the higher epoch
-		}
+	case t.startSent && startMayArrive:
 	case t.stopping:
 		s.unbind(t, "never started")
 		s.dispatchNeeded = true
@@ -150,7 +144,7 @@
 	t.startSent = true
 	if t.state != reported.State {
 		s.dispatchNeeded = s.dispatchNeeded || reported.State == model.TaskExited
-		m.viewStale, m.hasUnsentOrders = true, true
+		m.viewStale, m.hasUnsentStops = true, true
 		if reported.State == model.TaskRunning {
 			t.runningSince = s.now
 			m.view.Images.Use(j.Image, j.ImageGB)
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -8,7 +8,7 @@
 )
 
 // A task is bound to a machine before it is started. Start and stop orders reach the
-// worker in the answer to its report or, sooner, by a direct command.
+// worker in the answer to its report, and stops, sooner, by a direct command.
 
 // task is a task that is bound to a machine: it runs there, or it may. It is unbound
 // only when the machine's reports show that the attempt has ended, never started or is no
@@ -23,12 +23,8 @@
 	session uint64 // session of the worker when the task was bound, or since handleRestart
 	zone    string // zone of the machine when the task was bound
 
-	startSent             bool   // a start order has been sent
-	startSentSeq          uint64 // number of the report in whose answer it was last sent; 0: in none
-	unconfirmedStartEpoch uint64 // epoch of a start by direct command whose outcome is unknown
-	// directStartAt is when a direct command last started it, or when the outcome of that
-	// command became known; 0: none did, or its worker hasn't restarted since earlier starts.
-	directStartAt time.Duration
+	startSent    bool   // a start order has been sent
+	startSentSeq uint64 // number of the report in whose answer it was last sent; 0: in none
 
 	state           string        // as last reported; "": not reported yet
 	runningSince    time.Duration // when it was first reported running
@@ -44,7 +40,7 @@
 	t.job.tasks[t.index], t.machine.tasks[t.name] = t, t
 	t.job.tasksByZone[t.zone]++
 	s.teamUsage[t.job.Team] = s.teamUsage[t.job.Team].Add(t.job.quotaShare())
-	t.machine.viewStale, t.machine.hasUnsentOrders = true, true
+	t.machine.viewStale, t.machine.hasUnsentStarts = true, t.machine.hasUnsentStarts || !t.startSent
 }
 
 // removeFromTables removes a task from the tables of its job, machine and team.
@@ -112,7 +108,7 @@
 func (s *State) markStopping(t *task, graceS float64) {
 	if !t.stopping || graceS < t.graceS {
 		t.stopping, t.graceS, t.stopRequestedAt = true, graceS, s.now
-		t.machine.viewStale, t.machine.hasUnsentOrders = true, true
+		t.machine.viewStale, t.machine.hasUnsentStops = true, true
 	}
 }
 
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -30,12 +30,13 @@
 	Images       *Cache
 	Fetching     []Fetch // fetches under way, the oldest first
 	LocalQueue   []QueuedTask
-	PricePerHour float64 // of the whole machine
-	Spot         bool    // the cloud may reclaim it
-	ServiceCPUs  float64 // CPUs of the services on it, which keep it from being returned soon
-	Ref          any     // the caller's own record of the machine
-	reserved     bool    // for a task at its skip limit or for a gang, by the last call of RunRound
-	priceClass   int     // see assignPriceClasses; set at the beginning of RunRound
+	StartDelay   time.Duration // until the start of a task that is placed on it now reaches it
+	PricePerHour float64       // of the whole machine
+	Spot         bool          // the cloud may reclaim it
+	ServiceCPUs  float64       // CPUs of the services on it, which keep it from being returned soon
+	Ref          any           // the caller's own record of the machine
+	reserved     bool          // for a task at its skip limit or for a gang, by the last call of RunRound
+	priceClass   int           // see assignPriceClasses; set at the beginning of RunRound
 }
 
 // IsReserved reports whether the last call of RunRound has left m reserved for a task at
--- a/internal/sched/ranking.go
+++ b/internal/sched/ranking.go
@@ -59,7 +59,7 @@
 }
 
 func (r *machineRanking) entryFor(m *Machine) rankedMachine {
-	return rankedMachine{m, m.Images.Has(r.job.Image), m.fetchTime(r.now, r.job), leftoverShare(m, r.job)}
+	return rankedMachine{m, m.Images.Has(r.job.Image), m.StartDelay + m.fetchTime(r.now, r.job), leftoverShare(m, r.job)}
 }
 
 // best returns the machine for the next task. It drops machines that have been
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -73,9 +73,10 @@
 	// answer. The worker carries them out once, unless it has a higher epoch or another
 	// session by then.
 	LateCommandFraction float64
-	// RestartsResetConnections makes the restart of a worker reset its connections, so that
-	// late direct commands from before the restart are lost instead of carried out.
-	RestartsResetConnections bool
+
+	// KeepCommandCopies makes each worker keep copies of the direct commands that it has
+	// answered. DeliverCommandCopies delivers them once more.
+	KeepCommandCopies bool
 
 	// NextStartRefusal, if not empty, is the cause with which the next start of a task
 	// is refused, on any machine. RefusedStarts counts such refusals.
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -49,8 +49,11 @@
 	nextReportAt    time.Duration // when the next report is due, if there are no changes
 	hasChanges      bool          // there is something to report before nextReportAt
 	lastReportAt    time.Duration
-	delayedCommands []func()      // commands received while paused
-	epochChangeAt   time.Duration // when a higher epoch last triggered a report; 0: not yet
+	delayedCommands []func() // commands received while paused
+	// commandCopies are the direct commands that were answered, also by earlier incarnations,
+	// if Simulation.KeepCommandCopies is set.
+	commandCopies []core.AgentCall
+	epochChangeAt time.Duration // when a higher epoch last triggered a report; 0: not yet
 }
 
 // taskRun is one attempt of a task on a machine.
@@ -222,6 +225,7 @@
 		}
 		report := wk.nextReport()
 		result.Report = &report
+		wk.keepCopy(call, result.Status)
 		reply(result)
 	}
 	if wk.Paused {
@@ -233,6 +237,33 @@
 	}
 }
 
+// maxCommandCopies bounds how many commands a worker keeps; the oldest are dropped.
+const maxCommandCopies = 40
+
+// keepCopy keeps a command that was carried out.
+func (wk *Worker) keepCopy(call core.AgentCall, status int) {
+	if !wk.sim.KeepCommandCopies || status != 200 {
+		return
+	}
+	wk.commandCopies = append(wk.commandCopies, call)
+	if excess := len(wk.commandCopies) - maxCommandCopies; excess > 0 {
+		wk.commandCopies = wk.commandCopies[excess:]
+	}
+}
+
+// DeliverCommandCopies delivers once more all direct commands that the worker and its earlier
+// incarnations have answered, in their order, as a network that has held copies of them back. The
+// answers are dropped.
+func (wk *Worker) DeliverCommandCopies() {
+	copies := wk.commandCopies
+	if len(copies) > 0 && !wk.stopped {
+		wk.sim.tracef("machine %s gets copies of %d commands", wk.info.Host, len(copies))
+	}
+	for _, call := range copies {
+		wk.handleCommands(call, func(core.AgentResult) {})
+	}
+}
+
 // raiseEpoch applies the epoch of an answer or command. A higher epoch triggers a
 // report before the regular one, but at most once per half lease, as the protocol
 // requires. If the leader changes more often, the next regular report shows the latest
