Prefer machines that get the start now for gangs as well

A gang starts once the last of its tasks has been started and has its image. Since starts are sent in answers to reports, one task on a machine that reports late delayed the whole gang.

Change: the delay until a machine gets a start counts with the fetch when the machines of a gang are chosen, as it does for other jobs.

Result: TestGangPrefersMachinesThatGetItsStartNow failed before.

--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -46,32 +46,32 @@
 // each single zone, don't have capacity for all waiting tasks of j.
 func gangMachines(now time.Duration, j *Job, machines []*Machine, env Env) ([]*Machine, bool) {
 	var best []*Machine
-	found, shortestFetch := false, Never
+	found, shortestDelay := false, Never
 	for _, zone := range candidateZones(j, machines) {
 		var eligible []*Machine
-		fetchTimes := map[*Machine]time.Duration{}
+		readyAfter := map[*Machine]time.Duration{}
 		for _, m := range machines {
 			if !m.reserved && (zone == "" || m.Zone == zone) && m.Free.Fits(j.Need) && env.Allowed(j, m) {
 				eligible = append(eligible, m)
-				fetchTimes[m] = m.fetchTime(now, j)
+				readyAfter[m] = m.StartDelay + m.fetchTime(now, j)
 			}
 		}
 		sort.SliceStable(eligible, func(a, b int) bool {
-			if fetchTimes[eligible[a]] != fetchTimes[eligible[b]] {
-				return fetchTimes[eligible[a]] < fetchTimes[eligible[b]]
+			if readyAfter[eligible[a]] != readyAfter[eligible[b]] {
+				return readyAfter[eligible[a]] < readyAfter[eligible[b]]
 			}
 			return isBetter(eligible[a], eligible[b], j)
 		})
-		fitting, longestFetch := 0, time.Duration(0)
+		fitting, longestDelay := 0, time.Duration(0)
 		for _, m := range eligible {
 			if fitting >= j.Waiting {
 				break
 			}
 			fitting += TasksThatFit(m.Free, j.Need, j.Waiting)
-			longestFetch = fetchTimes[m]
+			longestDelay = readyAfter[m]
 		}
-		if fitting >= j.Waiting && (!found || longestFetch < shortestFetch) {
-			best, found, shortestFetch = eligible, true, longestFetch
+		if fitting >= j.Waiting && (!found || longestDelay < shortestDelay) {
+			best, found, shortestDelay = eligible, true, longestDelay
 		}
 	}
 	return best, found
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -203,3 +203,18 @@
 		t.Errorf("got a %v, b %v, c %v; want a and c, not b", c.Has("a"), c.Has("b"), c.Has("c"))
 	}
 }
+
+// TestGangPrefersMachinesThatGetItsStartNow guards against gangs that start late because one of
+// their tasks waits for a report of its machine.
+func TestGangPrefersMachinesThatGetItsStartNow(t *testing.T) {
+	var machines []*Machine
+	for i, startDelay := range []time.Duration{3 * time.Second, 0, 3 * time.Second, 0} {
+		capacity := Resources{CPUs: 4, MemoryGB: 16}
+		machines = append(machines, &Machine{ID: string(rune('a' + i)), Capacity: capacity, Free: capacity, FetchGBPerS: 1, Images: &Cache{SizeGB: 9}, StartDelay: startDelay})
+	}
+	gang := &Job{ID: "gang", IsGang: true, Need: Resources{CPUs: 4, MemoryGB: 8}, Image: "img", ImageGB: 1, Waiting: 2}
+	got, ok := gangMachines(0, gang, machines, &randomFleet{})
+	if !ok || len(got) != 4 || got[0].ID != "b" || got[1].ID != "d" {
+		t.Errorf("got machines %v, want b and d first", got)
+	}
+}
