Bound the held reports by a quarter of the sockets, and test the holds

Held reports keep their sockets. On a fleet with more machines than sockets, which works as long as connections are short, they could have kept users out. Now no report is held while as many wait as a quarter of the public sockets serves. A report is also held just after a replica has begun to run: a flag that says that stops may be unsent kept it from being held, though the tasks themselves are checked. Removing due reports from the pending ones is in one place (takeReports).

TestReportsAreHeld covers which reports are held, for how long, and what ends a hold.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -14,6 +14,7 @@
 	attemptCounter   uint64           // number of the last attempt of this term
 	dispatchNeeded   bool             // something has changed that may allow a placement
 	budgetOverruns   int              // rounds that exhausted their time budget
+	roundNumber      uint64           // number of the current round, or of the last one
 	viewBuffer       []*sched.Machine // reused by each round
 	placementsByPath map[sched.Path]int
 	teamUsage        map[string]sched.Resources // quota taken by all bound tasks, by team
@@ -91,11 +92,12 @@
 		entries[i] = j.queueEntry
 	}
 	env.views = s.viewBuffer[:0]
-	hasPendingReport := s.machinesWithPendingReport()
+	s.roundNumber++
+	s.markPendingReports()
 	for _, m := range s.machinesByName {
 		if s.isUsable(m) {
 			s.refreshView(m)
-			m.view.StartDelay = s.startDelay(m, hasPendingReport[m])
+			m.view.StartDelay = s.startDelay(m)
 			env.views = append(env.views, &m.view)
 		} else if len(m.view.LocalQueue) > 0 {
 			m.view.LocalQueue = nil // its tasks return to the global queue
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -91,6 +91,7 @@
 	commandInFlight      bool          // a direct command is under way
 	nextCommandAt        time.Duration // no direct command before then, except probes that a report calls for
 	reportRequests       reportRequestState
+	reportPendingInRound uint64 // number of the last round at which a report of it waited for an answer
 
 	reservedFor   *job // its free capacity is reserved for this job
 	reservedUntil time.Duration
--- a/internal/core/report_replies.go
+++ b/internal/core/report_replies.go
@@ -126,21 +126,34 @@
 // still being removed from the registry wait on, but are refused after a report interval. Those
 // that are held wait on as well.
 func (s *State) answerReports() {
-	pendingReports := s.pendingReports
-	s.pendingReports = nil
-	for _, pending := range pendingReports {
-		if s.IsLeader() && pending.machine.storedUnresponsiveSince != 0 && s.now-pending.receivedAt < s.cfg.ReportInterval {
-			s.pendingReports = append(s.pendingReports, pending)
-			continue
-		}
-		if s.IsLeader() && s.now < pending.holdUntil && s.mayHoldReport(pending.machine, pending.report) {
-			s.pendingReports = append(s.pendingReports, pending)
-			continue
-		}
+	due := s.takeReports(func(pending pendingReport) bool { return !s.IsLeader() || !s.mustWait(pending) })
+	for _, pending := range due {
 		s.answerReport(pending)
 	}
 }
 
+// mustWait says whether a pending report can't be answered yet, or is held on.
+func (s *State) mustWait(pending pendingReport) bool {
+	m := pending.machine
+	if m.storedUnresponsiveSince != 0 && s.now-pending.receivedAt < s.cfg.ReportInterval {
+		return true
+	}
+	return s.now < pending.holdUntil && s.mayHoldReport(m, pending.report)
+}
+
+// takeReports removes the pending reports that are due and returns them.
+func (s *State) takeReports(isDue func(pendingReport) bool) []pendingReport {
+	var due []pendingReport
+	s.pendingReports = slices.DeleteFunc(s.pendingReports, func(pending pendingReport) bool {
+		if !isDue(pending) {
+			return false
+		}
+		due = append(due, pending)
+		return true
+	})
+	return due
+}
+
 // maxOrders bounds the orders in one answer, so that the answer fits in a line of 64 KiB.
 const maxOrders = 400
 
--- a/internal/core/report_requests.go
+++ b/internal/core/report_requests.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"mulleinfall/internal/model"
@@ -55,22 +54,20 @@
 	return changedAt == 0 || s.now >= changedAt+s.epochChangePeriod()+s.epochChangeMargin()
 }
 
-// startDelay estimates how long a start of a task that is placed on m now takes to reach its worker.
-// hasPendingReport says whether a report of m waits for an answer.
-func (s *State) startDelay(m *machine, hasPendingReport bool) time.Duration {
-	if hasPendingReport || s.canRequestReport(m) {
+// startDelay estimates how long a start of a task that is placed on m in this round takes to
+// reach its worker.
+func (s *State) startDelay(m *machine) time.Duration {
+	if m.reportPendingInRound == s.roundNumber || s.canRequestReport(m) {
 		return 0
 	}
 	return s.cfg.ReportInterval / 2
 }
 
-// machinesWithPendingReport returns the machines of which a report waits for an answer.
-func (s *State) machinesWithPendingReport() map[*machine]bool {
-	machines := make(map[*machine]bool, len(s.pendingReports))
+// markPendingReports notes for this round which machines have a report that waits for an answer.
+func (s *State) markPendingReports() {
 	for _, pending := range s.pendingReports {
-		machines[pending.machine] = true
+		pending.machine.reportPendingInRound = s.roundNumber
 	}
-	return machines
 }
 
 // requestReport sends m a command, with the stops, under a higher epoch, so that the worker
@@ -90,11 +87,15 @@
 // one isn't late.
 func (s *State) reportHold() time.Duration { return min(maxReportHold, s.cfg.ReportInterval/2) }
 
+// maxPendingToHold bounds the reports that wait for an answer when another one is held. Each of them
+// keeps a socket, of which new connections of users need most.
+func (s *State) maxPendingToHold() int { return s.cfg.MaxRequests / 4 }
+
 // mayHoldReport says whether the report r of m may be held. Nothing is to be sent to the machine,
 // which has capacity for a further task, and nothing has to be reported soon: it has no tasks but
 // running replicas, which don't end by themselves.
 func (s *State) mayHoldReport(m *machine, r *model.Report) bool {
-	if !s.awaitsTasks(m) || r.ReclaimInS != nil || m.hasUnsentStarts || m.hasUnsentStops || len(m.tasks) != len(r.Tasks) {
+	if !s.awaitsTasks(m) || r.ReclaimInS != nil || m.hasUnsentStarts || len(m.tasks) != len(r.Tasks) {
 		return false
 	}
 	for _, reported := range r.Tasks {
@@ -123,13 +124,8 @@
 	if s.dispatchNeeded {
 		return // they are answered after the round, with the starts that it brings
 	}
-	var due []pendingReport
-	s.pendingReports = slices.DeleteFunc(s.pendingReports, func(pending pendingReport) bool {
-		isDue := pending.holdUntil != 0 && s.now >= pending.holdUntil && pending.machine.storedUnresponsiveSince == 0
-		if isDue {
-			due = append(due, pending)
-		}
-		return isDue
+	due := s.takeReports(func(pending pendingReport) bool {
+		return pending.holdUntil != 0 && s.now >= pending.holdUntil && pending.machine.storedUnresponsiveSince == 0
 	})
 	for _, pending := range due {
 		s.answerReport(pending)
@@ -139,11 +135,8 @@
 // refuseHeldReport refuses the report of m that is held, if there is one: the worker has sent
 // another one, so it no longer waits for the answer.
 func (s *State) refuseHeldReport(m *machine) {
-	s.pendingReports = slices.DeleteFunc(s.pendingReports, func(pending pendingReport) bool {
-		isHeld := pending.machine == m && pending.holdUntil != 0
-		if isHeld {
-			s.refuseWorker(pending.requestID, "overtaken")
-		}
-		return isHeld
-	})
+	held := s.takeReports(func(pending pendingReport) bool { return pending.machine == m && pending.holdUntil != 0 })
+	for _, pending := range held {
+		s.refuseWorker(pending.requestID, "overtaken")
+	}
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -266,7 +266,7 @@
 	}
 	m.lastReplyAt = s.now
 	s.refuseHeldReport(m)
-	if s.mayHoldReport(m, r) {
+	if len(s.pendingReports) < s.maxPendingToHold() && s.mayHoldReport(m, r) {
 		pending.holdUntil = s.now + s.reportHold()
 	}
 	if !s.clearUnresponsiveMark(m) || s.dispatchNeeded || pending.holdUntil != 0 {
--- a/internal/core/restart_reports_test.go
+++ b/internal/core/restart_reports_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -190,6 +191,81 @@
 	}
 }
 
+// TestReportsAreHeld checks which reports are held, for how long, and what ends the hold.
+func TestReportsAreHeld(t *testing.T) {
+	replica := []model.TaskReport{{Task: "req-000002/0", Attempt: 7, State: model.TaskRunning}}
+	newFleet := func(kind string) (*State, *machine) {
+		s := newSingleController()
+		s.loaded, s.hasContact, s.caughtUp, s.takeoverComplete = true, true, true, true
+		s.leadership, s.teamUsage, s.pages = newLeadership(s), map[string]sched.Resources{}, map[int]*registryPage{}
+		s.setTypes([]model.MachineType{{Name: "small", CPUs: 4, MemoryGB: 16, FetchGBPerS: 1}})
+		for _, id := range []string{"req-000001", "req-000002"} {
+			spec := &model.Job{ID: id, Team: "t", Tasks: 2, CPUs: 1, MemoryGB: 1, Kind: kind}
+			s.apply(Item{Key: prefixJobs + id, Value: mustMarshal(jobValue{Spec: spec}), ModRevision: 5})
+		}
+		m := s.ensureMachine("n-1")
+		s.describeMachine(m, "10.0.0.1:9000", "small", "a", false)
+		m.registered, m.session, m.seq, s.now = true, 1, 24, 10*time.Second
+		s.applyReport(m, &model.Report{Host: "n-1", Session: 1, Seq: 25, Epoch: s.epochBase(), Tasks: replica}, true)
+		m.lastReplyAt, s.effects, s.dispatchNeeded = s.now, nil, false
+		return s, m
+	}
+	report := func(s *State, seq uint64, change func(*model.Report)) {
+		r := model.Report{Host: "n-1", Endpoint: "10.0.0.1:9000", Type: "small", Zone: "a", Session: 1, Seq: seq, Epoch: s.epochBase(), Tasks: replica}
+		change(&r)
+		s.handleReport(WorkerReport{RequestID: seq, Report: r})
+	}
+	unchanged := func(*model.Report) {}
+	for _, row := range []struct {
+		name   string
+		kind   string
+		change func(s *State, m *machine, r *model.Report)
+		held   bool
+	}{
+		{"a replica runs", model.KindService, func(*State, *machine, *model.Report) {}, true},
+		{"a task runs that ends by itself", model.KindBatch, func(*State, *machine, *model.Report) {}, false},
+		{"the machine will be reclaimed", model.KindService, func(_ *State, _ *machine, r *model.Report) { r.ReclaimInS = new(float64) }, false},
+		{"a replica is to be stopped", model.KindService, func(s *State, m *machine, _ *model.Report) { s.stopTask(m.tasks["req-000002/0"], 0) }, false},
+		{"a replica waits to be started", model.KindService, func(s *State, m *machine, _ *model.Report) {
+			s.bind(&task{job: s.jobs["req-000001"], name: "req-000001/0", attempt: 8, machine: m})
+		}, false},
+		{"the machine is full", model.KindService, func(_ *State, m *machine, _ *model.Report) { m.view.Capacity.CPUs, m.viewStale = 1, true }, false},
+		{"too many reports wait", model.KindService, func(s *State, _ *machine, _ *model.Report) {
+			s.pendingReports = make([]pendingReport, s.maxPendingToHold())
+		}, false},
+	} {
+		s, m := newFleet(row.kind)
+		report(s, 26, func(r *model.Report) { row.change(s, m, r) })
+		held := slices.ContainsFunc(s.pendingReports, func(pending pendingReport) bool { return pending.holdUntil != 0 })
+		if held != row.held {
+			t.Errorf("%s: got held %v, want %v", row.name, held, row.held)
+		}
+	}
+
+	s, _ := newFleet(model.KindService)
+	report(s, 26, unchanged)
+	s.now += s.reportHold()
+	s.answerHeldReports()
+	if replies := repliesOf(s, 26); len(replies) != 1 || replies[0].Status != 200 {
+		t.Errorf("at the end of the hold: got replies %v, want one with status 200", replies)
+	}
+
+	s, m := newFleet(model.KindService)
+	report(s, 26, unchanged)
+	s.bind(&task{job: s.jobs["req-000001"], name: "req-000001/0", attempt: 8, machine: m})
+	s.answerReports() // as after the round that has placed the task
+	if replies := repliesOf(s, 26); len(replies) != 1 || len(replies[0].Body.(ReportReply).Orders) != 1 {
+		t.Errorf("after a placement: got replies %v, want one with the start", replies)
+	}
+
+	s, _ = newFleet(model.KindService)
+	report(s, 26, unchanged)
+	report(s, 27, unchanged)
+	if replies := repliesOf(s, 26); len(replies) != 1 || replies[0].Status != 503 || len(s.pendingReports) != 1 {
+		t.Errorf("after another report: got replies %v to the first, %d pending, want one with status 503 and one pending", replies, len(s.pendingReports))
+	}
+}
+
 // TestMissingTaskIsVerified guards against ran_twice: a late copy from before a restart that
 // went unnoticed has a higher number than the reports since, and lacks a task that runs.
 func TestMissingTaskIsVerified(t *testing.T) {
